Lay out the workspace, the sheet's types and the interfaces

Ruled out: one package with two programs, since the compiler could then not keep sockets and clocks out of the decision core.

--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,12 @@
+//! The decisions of the router, as functions of state, event and time.
+//!
+//! Nothing in this crate opens a socket or a file, reads a clock or draws a
+//! random number: time comes in as milliseconds and randomness as a number, so
+//! that the code which runs is the code which is model-checked and benchmarked.
+
+pub mod name;
+pub mod outcome;
+pub mod sheet;
+
+pub use name::Name;
+pub use outcome::{Outcome, Reason};
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
