--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -26,6 +26,12 @@
     }
 }
 
+impl Default for Name {
+    fn default() -> Name {
+        Name::from("")
+    }
+}
+
 impl Borrow<str> for Name {
     fn borrow(&self) -> &str {
         &self.0
