Fold the configuration from its stream

Cause: every instance must hold the same sheet and never an older one, though records age out, planners race, answers are lost and the platform is away.

A version is the offset of the accepted record; a publication names the version it replaces, so one published twice is accepted at most once.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,8 +4,12 @@
 //! random number: time comes in as milliseconds and randomness as a number, so
 //! that the code which runs is the code which is model-checked and benchmarked.
 
+pub mod edit;
+pub mod fold;
+pub mod log;
 pub mod name;
 pub mod outcome;
+pub mod record;
 pub mod sheet;
 
 pub use name::Name;
