Give every idempotency key one owner, and check the claims as a model

Cause: a retry may reach another instance while the first one still runs the request, is paused, cut off or gone, and the log may lose, delay and forget claims.

A claim counts if the log took it while its key was good, by the log's clock, and the lowest offset wins; a reader that may have missed an older claim calls the key disputed and does not run it. So no instance's clock can cause a second run. Tickets name their issuer and need no log; only the issuer checks their code, so its key never leaves the process. A refusal is final for its key: a delayed copy of the request would otherwise run after the caller was told "not run". For the same reason an instance that cannot claim may not say "not run". Ruled out: rendezvous hash over live instances (two owners in a cut), trusting the append's answer, age by the claimant's clock.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,13 +4,19 @@
 //! random number: time comes in as milliseconds and randomness as a number, so
 //! that the code which runs is the code which is model-checked and benchmarked.
 
+pub mod batch;
+pub mod claim;
 pub mod edit;
 pub mod fold;
+pub mod key;
+pub mod keytable;
 pub mod log;
 pub mod name;
 pub mod outcome;
+pub mod owner;
 pub mod record;
 pub mod sheet;
+pub mod ticket;
 
 pub use name::Name;
 pub use outcome::{Outcome, Reason};
--- /dev/null
+++ b/crates/core/tests/model_claims.rs
@@ -0,0 +1,488 @@
+//! Model check of at most once: the core's own index, table and limits, driven through
+//! every interleaving of a small world.
+//!
+//! Three instances, sends of one key through any of them, a log that loses, delays and
+//! ages out appends, crashes, and a service whose request or answer may be lost. A
+//! paused or cut-off process is one whose steps do not come; since any step may be late
+//! here, all pauses and partitions are among the interleavings. By symmetry the first
+//! send goes to the first instance.
+
+mod search;
+
+use std::sync::{Arc, LazyLock};
+
+use search::{Report, assert_caught, assert_safe, search};
+use tanagergauge_core::{
+    Name, Reason,
+    claim::{Claim, ClaimIndex, ClaimRecord, Standing, Winner},
+    key::{Fingerprint, KeyId, KeyLimits},
+    keytable::{Answer, Begin, KeyState, KeyTable, Offer, Reserve},
+    log::{LogRecord, Page},
+    owner::Owner,
+};
+
+const INSTANCES: usize = 3;
+const NAMES: [&str; INSTANCES] = ["a", "b", "c"];
+const KEY_UNIX_MS: u64 = 1;
+const LIMITS: KeyLimits = KeyLimits { max_age_ms: 1, max_skew_ms: 0, clock_error_ms: 0 };
+const RETENTION_MS: u64 = 1;
+
+/// Takes the name of a step, and the step.
+type Add<'a> = dyn FnMut(String, &dyn Fn(&mut World)) + 'a;
+
+/// What is taken away from the protocol.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Mutant {
+    Nothing,
+    /// The claimant dispatches when its append landed, without reading back.
+    NoReadBack,
+    /// Claims carry no age: the time of the append stands for it.
+    NoAge,
+    /// A reader takes no notice of records that aged out unread.
+    GapIgnored,
+    /// The owner gives up after dispatch and says "not run".
+    NotRunAfterDispatch,
+    /// An instance that cannot claim says "not run".
+    NotRunWithoutClaim,
+    /// A refusal is forgotten.
+    RefusalForgotten,
+    /// The owner forgets an answer before the key expires.
+    EarlyEviction,
+    /// A restarted instance passes for the one before.
+    SameIncarnation,
+}
+
+/// How keys get their owner.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Kind {
+    Claim,
+    /// Given out by the first instance.
+    Ticket,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+enum Phase {
+    Claiming(usize),
+    Forwarding {
+        to: usize,
+        incarnation: u64,
+    },
+    Admitted(usize),
+    Waiting(usize),
+    /// Bytes are on their way to the service.
+    Sent(usize),
+    /// It ran, and the answer is on its way back.
+    Ran(usize),
+    /// Bytes are on their way, and nobody waits for the answer.
+    Orphan,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Instance {
+    incarnation: u64,
+    index: ClaimIndex,
+    table: KeyTable,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct World {
+    now_ms: u64,
+    /// Time, instance and incarnation of each append.
+    log: Vec<(u64, usize, u64)>,
+    first_offset: usize,
+    in_flight: Vec<(usize, u64)>,
+    instances: Vec<Instance>,
+    requests: Vec<Phase>,
+    sends_left: usize,
+    crashes_left: usize,
+    runs: usize,
+    told_not_run: bool,
+    told_answered: bool,
+}
+
+#[derive(Clone, Copy)]
+struct Spec {
+    kind: Kind,
+    mutant: Mutant,
+    sends: usize,
+    crashes: usize,
+    end_ms: u64,
+    /// Whether the clocks of instances stand still, so that they never find a key too old.
+    clocks_stand: bool,
+}
+
+static KEY: LazyLock<KeyId> = LazyLock::new(|| KeyId::new(&Name::from("account"), "key"));
+static FINGERPRINT: LazyLock<Fingerprint> =
+    LazyLock::new(|| Fingerprint::new("class", "POST", "/", b"body"));
+static ANSWER: LazyLock<Arc<Answer>> = LazyLock::new(|| {
+    Arc::new(Answer { status: 200, headers: Vec::new(), body: Arc::from(&b"done"[..]) })
+});
+
+fn key() -> KeyId {
+    *KEY
+}
+
+impl Instance {
+    fn new(incarnation: u64) -> Instance {
+        Instance { incarnation, index: ClaimIndex::new(LIMITS), table: KeyTable::new(4, 1 << 10) }
+    }
+}
+
+impl Spec {
+    fn start(&self) -> World {
+        let mut instances: Vec<Instance> = (0..INSTANCES).map(|_| Instance::new(0)).collect();
+        if self.kind == Kind::Ticket {
+            instances[0].table.reserve(key(), KEY_UNIX_MS + LIMITS.max_age_ms, 1);
+        }
+        World {
+            now_ms: KEY_UNIX_MS,
+            log: Vec::new(),
+            first_offset: 0,
+            in_flight: Vec::new(),
+            instances,
+            requests: Vec::new(),
+            sends_left: self.sends,
+            crashes_left: self.crashes,
+            runs: 0,
+            told_not_run: false,
+            told_answered: false,
+        }
+    }
+
+    fn check(self) -> Report {
+        let bad = |world: &World| {
+            let untrue = world.told_not_run && world.runs > 0;
+            world.runs > 1 || untrue || (world.told_answered && world.runs != 1)
+        };
+        search(self.start(), |world| self.successors(world), bad)
+    }
+
+    fn successors(&self, world: &World) -> Vec<(String, World)> {
+        let mut next = Vec::new();
+        let mut add = |step: String, change: &dyn Fn(&mut World)| {
+            let mut world = world.clone();
+            change(&mut world);
+            world.requests.sort_unstable();
+            world.in_flight.sort_unstable();
+            next.push((step, world));
+        };
+        if world.sends_left > 0 {
+            let first = world.sends_left == self.sends && self.kind == Kind::Claim;
+            let targets = if first { 1 } else { INSTANCES };
+            for (at, name) in NAMES.iter().enumerate().take(targets) {
+                add(format!("send to {name}"), &|it| {
+                    it.sends_left -= 1;
+                    self.receive(it, at);
+                });
+            }
+        }
+        for place in 0..world.in_flight.len() {
+            add(format!("append of {} lands", NAMES[world.in_flight[place].0]), &|it| {
+                let (at, incarnation) = it.in_flight.remove(place);
+                it.log.push((it.now_ms, at, incarnation));
+            });
+            add(format!("append of {} is lost", NAMES[world.in_flight[place].0]), &|it| {
+                it.in_flight.remove(place);
+            });
+        }
+        for (at, name) in NAMES.iter().enumerate() {
+            if (world.instances[at].index.next_offset() as usize) < world.log.len() {
+                add(format!("{name} reads"), &|it| self.read(it, at));
+            }
+            if world.crashes_left > 0 {
+                add(format!("{name} crashes"), &|it| self.crash(it, at));
+            }
+        }
+        if world.now_ms < self.end_ms {
+            add("time passes".to_owned(), &|it| self.tick(it));
+        }
+        for place in 0..world.requests.len() {
+            self.advance(place, world, &mut add);
+        }
+        next
+    }
+
+    /// All that can become of one request.
+    fn advance(&self, place: usize, world: &World, add: &mut Add<'_>) {
+        let phase = world.requests[place];
+        let drop = |it: &mut World| {
+            it.requests.remove(place);
+        };
+        let become_ = |it: &mut World, phase: Phase| it.requests[place] = phase;
+        match phase {
+            Phase::Claiming(at) => {
+                add(format!("{} decides", NAMES[at]), &|it| {
+                    drop(it);
+                    self.decide(it, at);
+                });
+                add(format!("{} gives up the claim", NAMES[at]), &|it| {
+                    drop(it);
+                    it.told_not_run |= self.mutant == Mutant::NotRunWithoutClaim;
+                });
+            }
+            Phase::Forwarding { to, incarnation } => {
+                add(format!("{} gets a forwarded request", NAMES[to]), &|it| {
+                    drop(it);
+                    self.forwarded(it, to, incarnation);
+                });
+                add(format!("{} cannot be reached", NAMES[to]), &drop);
+            }
+            Phase::Admitted(at) => {
+                add(format!("{} dispatches", NAMES[at]), &|it| match it.instances[at]
+                    .table
+                    .begin(key())
+                {
+                    Begin::Go => become_(it, Phase::Sent(at)),
+                    Begin::Stop => drop(it),
+                });
+                add(format!("{} refuses", NAMES[at]), &|it| {
+                    drop(it);
+                    self.refuse(it, at);
+                });
+            }
+            Phase::Waiting(at) => {
+                add(format!("{} looks again", NAMES[at]), &|it| {
+                    drop(it);
+                    self.own(it, at);
+                });
+                add(format!("{} waits no longer", NAMES[at]), &drop);
+            }
+            Phase::Sent(at) => self.advance_sent(place, at, add),
+            Phase::Ran(at) => self.advance_ran(place, at, add),
+            Phase::Orphan => {
+                add("service runs an orphan".to_owned(), &|it| {
+                    drop(it);
+                    it.runs += 1;
+                });
+                add("an orphan is lost".to_owned(), &drop);
+            }
+        }
+    }
+
+    fn advance_ran(&self, place: usize, at: usize, add: &mut Add<'_>) {
+        add(format!("{} gets the answer", NAMES[at]), &|it| {
+            it.requests.remove(place);
+            it.instances[at].table.answer(key(), ANSWER.clone());
+            let state = it.instances[at].table.state(key());
+            it.told_answered |= matches!(state, Some(KeyState::Answered(_)));
+        });
+        add(format!("{} loses the answer", NAMES[at]), &|it| {
+            it.requests.remove(place);
+            it.instances[at].table.lose(key(), Reason::EndpointBroke);
+        });
+    }
+
+    fn advance_sent(&self, place: usize, at: usize, add: &mut Add<'_>) {
+        add(format!("service runs for {}", NAMES[at]), &|it| {
+            it.runs += 1;
+            it.requests[place] = Phase::Ran(at);
+        });
+        add(format!("service refuses {}", NAMES[at]), &|it| {
+            it.instances[at].table.retract(key());
+            it.requests[place] = Phase::Admitted(at);
+        });
+        add(format!("{} gives up the dispatch", NAMES[at]), &|it| {
+            it.requests[place] = Phase::Orphan;
+            if self.mutant == Mutant::NotRunAfterDispatch {
+                it.instances[at].table.retract(key());
+                self.refuse(it, at);
+            }
+            it.instances[at].table.lose(key(), Reason::EndpointTimeout);
+        });
+    }
+
+    fn receive(&self, world: &mut World, at: usize) {
+        match self.kind {
+            Kind::Claim => self.decide(world, at),
+            Kind::Ticket if at == 0 && world.instances[0].incarnation == 0 => self.own(world, 0),
+            Kind::Ticket => {
+                world.requests.push(Phase::Forwarding { to: 0, incarnation: 0 });
+            }
+        }
+    }
+
+    fn decide(&self, world: &mut World, at: usize) {
+        let me = (at, world.instances[at].incarnation);
+        let landed = world.log.iter().any(|it| (it.1, it.2) == me);
+        if self.mutant == Mutant::NoReadBack && landed {
+            return self.own(world, at);
+        }
+        match world.instances[at].index.standing(key(), KEY_UNIX_MS) {
+            Standing::Free => self.claim(world, at),
+            Standing::Won(winner) if is(&winner, me) => self.own(world, at),
+            Standing::Disputed(winner) if is(&winner, me) => {}
+            Standing::Won(winner) | Standing::Disputed(winner) => {
+                world.instances[at].table.release(key());
+                let to = NAMES.iter().position(|it| *it == winner.owner.instance.as_str());
+                let incarnation = winner.owner.incarnation;
+                world.requests.push(Phase::Forwarding { to: to.unwrap(), incarnation });
+            }
+        }
+    }
+
+    /// The clock of an instance, which may stand still.
+    fn clock_ms(&self, world: &World) -> u64 {
+        if self.clocks_stand { KEY_UNIX_MS } else { world.now_ms }
+    }
+
+    /// When keys expire; never, if they carry no age.
+    fn expires_ms(&self) -> u64 {
+        if self.mutant == Mutant::NoAge { u64::MAX } else { KEY_UNIX_MS + LIMITS.max_age_ms }
+    }
+
+    fn claim(&self, world: &mut World, at: usize) {
+        let expires_unix_ms = self.expires_ms();
+        let now_ms = self.clock_ms(world);
+        let incarnation = world.instances[at].incarnation;
+        match world.instances[at].table.reserve(key(), expires_unix_ms, now_ms) {
+            Reserve::Kept => {
+                world.in_flight.push((at, incarnation));
+                world.requests.push(Phase::Claiming(at));
+            }
+            Reserve::Present => world.requests.push(Phase::Claiming(at)),
+            Reserve::Full | Reserve::Expired => {}
+        }
+    }
+
+    fn forwarded(&self, world: &mut World, at: usize, incarnation: u64) {
+        let me = (at, world.instances[at].incarnation);
+        if me.1 != incarnation {
+            if self.mutant == Mutant::SameIncarnation {
+                let end_ms = KEY_UNIX_MS + LIMITS.max_age_ms;
+                world.instances[at].table.reserve(key(), end_ms, KEY_UNIX_MS);
+                self.own(world, at);
+            }
+            return;
+        }
+        match (self.kind, world.instances[at].index.standing(key(), KEY_UNIX_MS)) {
+            (Kind::Ticket, _) => self.own(world, at),
+            (Kind::Claim, Standing::Free) => world.requests.push(Phase::Claiming(at)),
+            (Kind::Claim, Standing::Won(winner)) if is(&winner, me) => self.own(world, at),
+            (Kind::Claim, _) => {}
+        }
+    }
+
+    fn own(&self, world: &mut World, at: usize) {
+        let now_ms = self.clock_ms(world);
+        match world.instances[at].table.offer(key(), *FINGERPRINT, now_ms) {
+            Offer::Run => world.requests.push(Phase::Admitted(at)),
+            Offer::Wait => world.requests.push(Phase::Waiting(at)),
+            Offer::Answer(_) => world.told_answered = true,
+            Offer::NotRun(_) => world.told_not_run = true,
+            Offer::Unknown(_) => {}
+        }
+    }
+
+    fn refuse(&self, world: &mut World, at: usize) {
+        let table = &mut world.instances[at].table;
+        table.refuse(key(), Reason::QueueFull);
+        world.told_not_run |= matches!(table.state(key()), Some(KeyState::Refused(_)));
+        if self.mutant == Mutant::RefusalForgotten {
+            forget(table);
+        }
+    }
+
+    fn read(&self, world: &mut World, at: usize) {
+        let index = &mut world.instances[at].index;
+        let next = index.next_offset() as usize;
+        let mut records: Vec<LogRecord> = (next.max(world.first_offset)..world.log.len())
+            .map(|offset| record(offset, world.log[offset], self.mutant))
+            .collect();
+        if self.mutant == Mutant::GapIgnored {
+            let lost = next..world.first_offset;
+            let blank = |it| LogRecord { offset: it as u64, appended_unix_ms: 0, payload: vec![] };
+            records.splice(0..0, lost.map(blank));
+        }
+        let first_offset = world.first_offset as u64;
+        let next_offset = world.log.len() as u64;
+        index.read(&Page { first_offset, next_offset, records });
+    }
+
+    fn crash(&self, world: &mut World, at: usize) {
+        world.crashes_left -= 1;
+        world.instances[at] = Instance::new(world.instances[at].incarnation + 1);
+        let requests = std::mem::take(&mut world.requests);
+        world.requests = requests
+            .into_iter()
+            .filter_map(|phase| match phase {
+                Phase::Sent(it) if it == at => Some(Phase::Orphan),
+                Phase::Claiming(it) | Phase::Admitted(it) if it == at => None,
+                Phase::Waiting(it) | Phase::Ran(it) if it == at => None,
+                other => Some(other),
+            })
+            .collect();
+    }
+
+    fn tick(&self, world: &mut World) {
+        world.now_ms += 1;
+        let kept = |it: &&(u64, usize, u64)| it.0 + RETENTION_MS < world.now_ms;
+        world.first_offset = world.log.iter().take_while(kept).count();
+        if self.mutant == Mutant::EarlyEviction {
+            world.instances.iter_mut().for_each(|it| forget(&mut it.table));
+        }
+    }
+}
+
+fn forget(table: &mut KeyTable) {
+    if table.state(key()).is_some() {
+        *table = KeyTable::new(4, 1 << 10);
+        table.reserve(key(), KEY_UNIX_MS + LIMITS.max_age_ms, KEY_UNIX_MS);
+    }
+}
+
+fn is(winner: &Winner, (at, incarnation): (usize, u64)) -> bool {
+    winner.owner.instance.as_str() == NAMES[at] && winner.owner.incarnation == incarnation
+}
+
+fn record(offset: usize, (time, at, incarnation): (u64, usize, u64), mutant: Mutant) -> LogRecord {
+    let key_unix_ms = if mutant == Mutant::NoAge { time } else { KEY_UNIX_MS };
+    let claim = Claim { key: key(), key_unix_ms, fingerprint: *FINGERPRINT };
+    let owner = Owner { instance: Name::from(NAMES[at]), incarnation };
+    let payload = ClaimRecord { owner, claims: vec![claim] }.encode();
+    LogRecord { offset: offset as u64, appended_unix_ms: time, payload }
+}
+
+const CLAIM: Spec = Spec {
+    kind: Kind::Claim,
+    mutant: Mutant::Nothing,
+    sends: 2,
+    crashes: 1,
+    end_ms: 3,
+    clocks_stand: true,
+};
+const TICKET: Spec = Spec { kind: Kind::Ticket, sends: 4, crashes: 2, ..CLAIM };
+
+macro_rules! safe {
+    ($($name:ident: $spec:expr;)*) => { $(
+        #[test]
+        fn $name() {
+            assert_safe(stringify!($name), &$spec.check());
+        }
+    )* };
+}
+
+macro_rules! caught {
+    ($($name:ident: $spec:expr;)*) => { $(
+        #[test]
+        fn $name() {
+            assert_caught(stringify!($name), &$spec.check());
+        }
+    )* };
+}
+
+safe! {
+    claimed_key_runs_at_most_once: CLAIM;
+    claimed_key_expires_at_instances: Spec { crashes: 0, clocks_stand: false, ..CLAIM };
+    ticket_runs_at_most_once: TICKET;
+}
+
+caught! {
+    mutant_without_read_back: Spec { mutant: Mutant::NoReadBack, ..CLAIM };
+    mutant_without_age: Spec { mutant: Mutant::NoAge, crashes: 0, ..CLAIM };
+    mutant_without_gap_check: Spec { mutant: Mutant::GapIgnored, crashes: 0, ..CLAIM };
+    mutant_says_not_run_after_dispatch: Spec { mutant: Mutant::NotRunAfterDispatch, ..CLAIM };
+    mutant_says_not_run_without_claim: Spec { mutant: Mutant::NotRunWithoutClaim, ..CLAIM };
+    mutant_forgets_refusals: Spec { mutant: Mutant::RefusalForgotten, ..CLAIM };
+    mutant_evicts_early: Spec { mutant: Mutant::EarlyEviction, ..CLAIM };
+    mutant_ignores_the_incarnation: Spec { mutant: Mutant::SameIncarnation, ..TICKET };
+}
