Add stand-ins of the platform, the engine and the plain service

Cause: the daemon's path, its tests and `tanagergauge try` need something on the other side of each interface of docs/INTERFACES.md, with records that tests can judge from outside and with faults that they can switch.

The answer's text follows from a hash of the request's messages, so that a resumed stream can be compared token by token and a crossed answer is seen for what it is. Ruled out: random text (nothing to compare with) and an echo of the prompt (a cut would look like a short prompt). A refused port is held bound without listening, so that nobody else gets it meanwhile; dropping the listener alone would free it. An append runs in a task of its own, because a caller that leaves must not undo a slow append.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder.
+//! Small fakes of the systems around tanagergauge: the platform's log and list,
+//! a model engine, a plain service, and a proxy that brings about network faults.
+//!
+//! Each runs inside the calling process on loopback, keeps records of what
+//! reached it, and has its faults switched by the owner of its handle. Dropping
+//! the handle closes the port and every connection.
+
+mod batch;
+mod body;
+mod gate;
+mod prefix;
+mod server;
+
+pub mod answer;
+pub mod engine;
+pub mod platform;
+pub mod service;
+
+pub use engine::{Engine, EngineFaults, EngineSettings, Leaving, RunEnd, RunRecord};
+pub use platform::{Entry, Platform, PlatformFaults, PlatformSettings};
+pub use service::{Service, ServiceFaults, ServiceRun};
--- /dev/null
+++ b/crates/standins/tests/it/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the stand-ins over their own ports.
+
+mod client;
+mod engine;
+mod platform;
+mod service;
