Add the queue and the choice of an endpoint to the core

Ruled out: virtual finish times per queue (shares are the fleet's, so use decays and is summed over peers); queue places for floors.

--- /dev/null
+++ b/crates/core/src/choose.rs
@@ -0,0 +1,271 @@
+//! Choosing an endpoint for a request.
+
+use crate::{
+    Reason,
+    fleet::{EndpointIndex, Fleet, Routing, Target},
+    queue::Turn,
+};
+
+/// Endpoints looked at before one with room is taken.
+const SAMPLE: usize = 16;
+
+/// Endpoints looked at before the choice gives up for now.
+const SCAN_LIMIT: usize = 64;
+
+/// Requests of one instance at one endpoint, as a multiple of its slots, under
+/// [`Routing::RoundRobin`].
+const ROUND_ROBIN_LIMIT: u32 = 8;
+
+/// A prefix in cache is followed up to this much above the mean load, in percent.
+const AFFINITY_LOAD_PERCENT: u32 = 125;
+
+/// Time the prompt takes for each token that is not in cache, in milliseconds.
+const PROMPT_TOKEN_MS: f64 = 0.25;
+
+/// Bytes in a price's unit.
+const PRICE_UNIT_BYTES: f64 = 1e9;
+
+/// What the choice needs to know of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// The model, with or without an adapter, or the service.
+    pub target: &'a str,
+    /// Rank of its tier.
+    pub tier_rank: usize,
+    /// By which right it is dispatched.
+    pub turn: Turn,
+    /// Expected length of the answer.
+    pub output_tokens: u32,
+    /// Bytes sent to the endpoint.
+    pub request_bytes: usize,
+    /// Bytes expected back.
+    pub answer_bytes: usize,
+    /// How long it has waited.
+    pub waited_ms: u64,
+    /// Its class's target for the first token.
+    pub first_token_ms: u64,
+    /// Endpoints that hold a prefix of its prompt, and how much of it.
+    pub cached: &'a [Cached],
+    /// Endpoints that it must not go to, as those that failed it before.
+    pub avoid: &'a [EndpointIndex],
+}
+
+/// Part of a prompt that an endpoint is believed to have in cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cached {
+    /// The endpoint.
+    pub endpoint: EndpointIndex,
+    /// Tokens from the prompt's beginning.
+    pub tokens: u32,
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// To this endpoint.
+    Send(EndpointIndex),
+    /// Nowhere for now.
+    Wait,
+    /// Nowhere.
+    Refuse(Reason),
+}
+
+struct Scored {
+    index: EndpointIndex,
+    requests: u32,
+    score_ms: f64,
+    saved_ms: f64,
+}
+
+impl Fleet {
+    /// Chooses an endpoint. `random` is any number; the choice is a function of it.
+    pub fn choose(&mut self, request: &Request<'_>, now_ms: u64, random: u64) -> Choice {
+        let Some(key) = self.target_key(request.target) else {
+            return Choice::Refuse(Reason::NoEndpoint);
+        };
+        self.targets[key].asked(request.tier_rank, now_ms);
+        match self.settings.routing {
+            Routing::RoundRobin => self.next_in_turn(key, request),
+            Routing::LeastLoad => self.least_reported(key, request, random),
+            Routing::Full => self.best(key, request, now_ms, random),
+        }
+    }
+
+    /// Notes that a tier asks for a target; lower tiers then leave it some slots.
+    pub fn asked(&mut self, target: &str, tier_rank: usize, now_ms: u64) {
+        if let Some(key) = self.target_key(target) {
+            self.targets[key].asked(tier_rank, now_ms);
+        }
+    }
+
+    /// Whether [`Fleet::choose`] would send the request somewhere now.
+    pub fn has_room(&self, request: &Request<'_>, now_ms: u64) -> bool {
+        let Some(key) = self.target_key(request.target) else { return false };
+        let target = &self.targets[key];
+        match self.settings.routing {
+            Routing::RoundRobin => target.all().any(|it| self.takes_turn(it, request)),
+            Routing::LeastLoad => target.all().any(|it| self.takes_reported(it, request)),
+            Routing::Full => {
+                !self.candidates(key, request, now_ms, 0, 1).is_empty()
+                    || self.last_resort(key, request, now_ms) != Choice::Wait
+            }
+        }
+    }
+
+    fn next_in_turn(&mut self, key: usize, request: &Request<'_>) -> Choice {
+        let target = &self.targets[key];
+        let members: Vec<_> = target.all().collect();
+        let after = members.iter().cycle().skip(target.turn).take(members.len());
+        let found = after.enumerate().find(|(_, it)| self.takes_turn(**it, request));
+        let Some((skipped, &index)) = found else { return Choice::Wait };
+        self.targets[key].turn = (target.turn + skipped + 1) % members.len();
+        Choice::Send(index)
+    }
+
+    fn takes_turn(&self, index: EndpointIndex, request: &Request<'_>) -> bool {
+        let endpoint = &self.endpoints[index.0];
+        let is_out = endpoint.leaving || endpoint.removed || request.avoid.contains(&index);
+        !is_out && endpoint.load.own() < endpoint.slots * ROUND_ROBIN_LIMIT
+    }
+
+    fn least_reported(&self, key: usize, request: &Request<'_>, random: u64) -> Choice {
+        let members: Vec<_> =
+            self.targets[key].all().filter(|&it| self.takes_reported(it, request)).collect();
+        if members.is_empty() {
+            return Choice::Wait;
+        }
+        let start = random as usize % members.len();
+        let rotated = members[start..].iter().chain(&members[..start]);
+        let least = rotated.min_by_key(|it| self.endpoints[it.0].load.reported());
+        least.map_or(Choice::Wait, |it| Choice::Send(*it))
+    }
+
+    fn takes_reported(&self, index: EndpointIndex, request: &Request<'_>) -> bool {
+        let endpoint = &self.endpoints[index.0];
+        let is_out = endpoint.leaving || endpoint.removed || request.avoid.contains(&index);
+        !is_out && endpoint.load.own() < endpoint.slots
+    }
+
+    fn best(&self, key: usize, request: &Request<'_>, now_ms: u64, random: u64) -> Choice {
+        let found = self.candidates(key, request, now_ms, random, SAMPLE);
+        if found.is_empty() {
+            return self.last_resort(key, request, now_ms);
+        }
+        let mean = found.iter().map(|it| it.requests).sum::<u32>() / found.len() as u32;
+        let bound = (mean + 1) * AFFINITY_LOAD_PERCENT / 100;
+        let score = |it: &Scored| {
+            if it.requests <= bound { it.score_ms - it.saved_ms } else { it.score_ms }
+        };
+        let best = found.iter().min_by(|a, b| score(a).total_cmp(&score(b)));
+        best.map_or(Choice::Wait, |it| Choice::Send(it.index))
+    }
+
+    /// With every endpoint ejected, the least loaded one that still has a slot.
+    fn last_resort(&self, key: usize, request: &Request<'_>, now_ms: u64) -> Choice {
+        let target = &self.targets[key];
+        let stay = |it: &EndpointIndex| {
+            let endpoint = &self.endpoints[it.0];
+            !endpoint.leaving && !endpoint.removed && !request.avoid.contains(it)
+        };
+        let members: Vec<_> = target.all().take(SCAN_LIMIT).filter(stay).collect();
+        if members.iter().any(|it| self.endpoints[it.0].pace.usable_percent(now_ms) > 0) {
+            return Choice::Wait;
+        }
+        let free = members.into_iter().filter(|it| {
+            let endpoint = &self.endpoints[it.0];
+            endpoint.load.estimate() < endpoint.slots
+        });
+        let least = free.min_by_key(|it| self.endpoints[it.0].load.estimate());
+        least.map_or(Choice::Wait, Choice::Send)
+    }
+
+    /// Up to `wanted` endpoints with room: those of the own region, and only if none has room
+    /// and the request may go far, others.
+    fn candidates(
+        &self,
+        key: usize,
+        request: &Request<'_>,
+        now_ms: u64,
+        random: u64,
+        wanted: usize,
+    ) -> Vec<Scored> {
+        let target = &self.targets[key];
+        let higher_asked = target.higher_asked(request.tier_rank, now_ms);
+        let scan = |members: &[EndpointIndex]| {
+            let start = if members.is_empty() { 0 } else { random as usize % members.len() };
+            let rotated = members[start..].iter().chain(&members[..start]).take(SCAN_LIMIT);
+            rotated
+                .filter_map(|it| self.scored(*it, request, higher_asked, now_ms))
+                .take(wanted)
+                .collect::<Vec<_>>()
+        };
+        let home = scan(&target.home);
+        if !home.is_empty() {
+            return home;
+        }
+        let far = scan(&target.remote);
+        let is_patient = request.waited_ms * 100
+            < request.first_token_ms * self.settings.patience_percent
+            && self.home_works(target, now_ms);
+        far.into_iter()
+            .filter(|it| !is_patient || self.endpoints[it.index.0].is_free_of_charge())
+            .collect()
+    }
+
+    fn home_works(&self, target: &Target, now_ms: u64) -> bool {
+        let members = target.home.iter().take(SCAN_LIMIT);
+        members.into_iter().any(|it| self.endpoints[it.0].usable_slots(now_ms) > 0)
+    }
+
+    fn scored(
+        &self,
+        index: EndpointIndex,
+        request: &Request<'_>,
+        higher_asked: bool,
+        now_ms: u64,
+    ) -> Option<Scored> {
+        let endpoint = &self.endpoints[index.0];
+        let usable = endpoint.usable_slots(now_ms);
+        let requests = endpoint.load.estimate();
+        let limit = self.limit(usable, request, higher_asked);
+        if requests >= limit || request.avoid.contains(&index) {
+            return None;
+        }
+        let cached = request.cached.iter().find(|it| it.endpoint == index);
+        let saved_ms = cached.map_or(0.0, |it| f64::from(it.tokens) * PROMPT_TOKEN_MS);
+        let work_ms = endpoint.pace.first_token_ms()
+            + endpoint.pace.token_ms() * f64::from(request.output_tokens);
+        let busy = f64::from(requests) / f64::from(usable);
+        let cost = endpoint.price_there * request.request_bytes as f64
+            + endpoint.price_back * request.answer_bytes as f64;
+        let cost_ms = cost / PRICE_UNIT_BYTES * self.settings.currency_ms;
+        Some(Scored { index, requests, score_ms: work_ms * (1.0 + busy) + cost_ms, saved_ms })
+    }
+
+    /// Requests an endpoint may have for this one to be sent there.
+    fn limit(&self, usable: u32, request: &Request<'_>, higher_asked: bool) -> u32 {
+        if usable == 0 {
+            return 0;
+        }
+        if request.tier_rank == 0 {
+            return usable + (usable * self.settings.overcommit_percent).div_ceil(100);
+        }
+        if request.turn == Turn::Floor || !higher_asked {
+            return usable;
+        }
+        let reserved = (usable * self.settings.reserve_percent).div_ceil(100);
+        usable.saturating_sub(reserved).max(1)
+    }
+}
+
+impl crate::fleet::Endpoint {
+    fn is_free_of_charge(&self) -> bool {
+        self.price_there == 0.0 && self.price_back == 0.0
+    }
+}
+
+impl Target {
+    pub(crate) fn all(&self) -> impl Iterator<Item = EndpointIndex> {
+        self.home.iter().chain(&self.remote).copied()
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,346 @@
+//! What an instance knows of the endpoints: load, pace, and who is leaving.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+use crate::{
+    Name,
+    load::Load,
+    pace::{Pace, Standing},
+    sheet::{Kind, Sheet},
+};
+
+/// Pace expected of an endpoint that was never observed, in milliseconds a token.
+const FIRST_TOKEN_PACE_MS: f64 = 20.0;
+
+/// Time to the first token expected of an endpoint that was never observed, in milliseconds.
+const FIRST_TOKEN_WAIT_MS: f64 = 150.0;
+
+/// How long the demand of a tier is remembered, in milliseconds.
+const DEMAND_MEMORY_MS: u64 = 30_000;
+
+/// Tiers whose demand is remembered.
+const RANK_LIMIT: usize = 16;
+
+/// How endpoints are chosen.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, Serialize, Deserialize,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum Routing {
+    /// The next in turn, whatever its load.
+    RoundRobin,
+    /// The least load by the last report.
+    LeastLoad,
+    /// Corrected load, pace, prefixes and prices.
+    #[default]
+    Full,
+}
+
+/// Settings of the choice.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// How endpoints are chosen.
+    pub routing: Routing,
+    /// Part of an endpoint's slots kept free of lower tiers while a higher has demand, in percent.
+    pub reserve_percent: u32,
+    /// Requests the most urgent tier may send beyond an endpoint's slots, in percent of them.
+    pub overcommit_percent: u32,
+    /// Part of the first-token target a request waits for its own region if others cost money,
+    /// in percent.
+    pub patience_percent: u64,
+    /// An endpoint slower than the median by more than this is ejected.
+    pub outlier_factor: f64,
+    /// What one unit of currency weighs in the choice, in milliseconds.
+    pub currency_ms: f64,
+}
+
+impl Default for FleetSettings {
+    fn default() -> FleetSettings {
+        FleetSettings {
+            routing: Routing::Full,
+            reserve_percent: 12,
+            overcommit_percent: 25,
+            patience_percent: 50,
+            outlier_factor: 3.0,
+            currency_ms: 100_000.0,
+        }
+    }
+}
+
+/// Place of an endpoint in a [`Fleet`]; it stays while the endpoint is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointIndex(pub usize);
+
+/// All endpoints, as one instance knows them.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    pub(crate) settings: FleetSettings,
+    pub(crate) endpoints: Vec<Endpoint>,
+    names: IndexMap<Name, EndpointIndex>,
+    pub(crate) targets: IndexMap<Name, Target>,
+    /// Region of this instance.
+    region: Name,
+}
+
+/// An endpoint as it is known.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Its name.
+    pub name: Name,
+    /// What it is.
+    pub kind: Kind,
+    /// Requests it runs at once without queueing; at least 1.
+    pub slots: u32,
+    /// Its load.
+    pub load: Load,
+    /// Its speed and failures.
+    pub pace: Pace,
+    /// It takes no new work.
+    pub leaving: bool,
+    /// It is no longer in the sheet.
+    pub removed: bool,
+    /// Price of 10^9 bytes to it.
+    pub(crate) price_there: f64,
+    /// Price of 10^9 bytes from it.
+    pub(crate) price_back: f64,
+    /// It stands in the region of this instance.
+    pub(crate) is_home: bool,
+}
+
+/// Endpoints that serve one model or service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Target {
+    pub(crate) home: Vec<EndpointIndex>,
+    pub(crate) remote: Vec<EndpointIndex>,
+    /// When each tier last asked for it.
+    demand_ms: [u64; RANK_LIMIT],
+    /// The next in turn, for [`Routing::RoundRobin`].
+    pub(crate) turn: usize,
+}
+
+impl Fleet {
+    /// The endpoints of a sheet, seen from an instance in that availability zone.
+    pub fn new(sheet: &Sheet, availability_zone: &str, settings: FleetSettings) -> Fleet {
+        let region = sheet.region(availability_zone).cloned().unwrap_or_default();
+        let mut fleet = Fleet {
+            settings,
+            endpoints: Vec::new(),
+            names: IndexMap::new(),
+            targets: IndexMap::new(),
+            region,
+        };
+        fleet.update(sheet);
+        fleet
+    }
+
+    /// Takes over another sheet; what was learned of endpoints that stay is kept.
+    pub fn update(&mut self, sheet: &Sheet) {
+        for it in &mut self.endpoints {
+            it.removed = true;
+        }
+        let targets = std::mem::take(&mut self.targets);
+        for listed in &sheet.endpoints {
+            let region = sheet.region(&listed.availability_zone).cloned().unwrap_or_default();
+            let index = self.place(&listed.name);
+            let price_there = price(sheet, &self.region, &region);
+            let price_back = price(sheet, &region, &self.region);
+            let is_home = region == self.region;
+            let endpoint = &mut self.endpoints[index.0];
+            endpoint.removed = false;
+            endpoint.kind = listed.kind;
+            endpoint.slots = listed.slots.max(1);
+            endpoint.price_there = price_there;
+            endpoint.price_back = price_back;
+            endpoint.is_home = is_home;
+            for served in &listed.serves {
+                let target = self.targets.entry(served.clone()).or_default();
+                let places = if is_home { &mut target.home } else { &mut target.remote };
+                places.push(index);
+            }
+        }
+        for (name, old) in targets {
+            if let Some(target) = self.targets.get_mut(&name) {
+                target.demand_ms = old.demand_ms;
+            }
+        }
+    }
+
+    /// Where the endpoint of that name is.
+    pub fn index(&self, name: &str) -> Option<EndpointIndex> {
+        self.names.get(name).copied()
+    }
+
+    /// What is known of an endpoint.
+    pub fn endpoint(&self, index: EndpointIndex) -> &Endpoint {
+        &self.endpoints[index.0]
+    }
+
+    /// All endpoints of the sheet in force.
+    pub fn endpoints(&self) -> impl Iterator<Item = (EndpointIndex, &Endpoint)> {
+        let all = self.endpoints.iter().enumerate().map(|(at, it)| (EndpointIndex(at), it));
+        all.filter(|(_, it)| !it.removed)
+    }
+
+    /// This instance has sent a request there.
+    pub fn sent(&mut self, index: EndpointIndex, now_ms: u64) {
+        self.endpoints[index.0].load.sent(now_ms);
+    }
+
+    /// A request there ended with a whole answer.
+    pub fn finished(&mut self, index: EndpointIndex, now_ms: u64) {
+        let endpoint = &mut self.endpoints[index.0];
+        endpoint.load.finished(now_ms);
+        endpoint.pace.succeeded(now_ms);
+    }
+
+    /// A request there was cancelled or refused before running; that says nothing against it.
+    pub fn released(&mut self, index: EndpointIndex, now_ms: u64) {
+        self.endpoints[index.0].load.finished(now_ms);
+    }
+
+    /// A request there failed by the endpoint's fault. Returns whether that ejected it.
+    pub fn failed(&mut self, index: EndpointIndex, now_ms: u64) -> bool {
+        let endpoint = &mut self.endpoints[index.0];
+        endpoint.load.finished(now_ms);
+        endpoint.pace.failed(now_ms)
+    }
+
+    /// The first token of an answer came after that time.
+    pub fn first_token(&mut self, index: EndpointIndex, elapsed_ms: f64) {
+        self.endpoints[index.0].pace.first_token(elapsed_ms);
+    }
+
+    /// So many tokens of one answer came in that time; to be told also while answers are running.
+    pub fn tokens(&mut self, index: EndpointIndex, tokens: u32, elapsed_ms: f64) {
+        self.endpoints[index.0].pace.tokens(tokens, elapsed_ms);
+    }
+
+    /// A load report: requests running and waiting at the moment `as_of_ms`.
+    pub fn report(&mut self, index: EndpointIndex, requests: u32, as_of_ms: u64) -> bool {
+        self.endpoints[index.0].load.report(requests, as_of_ms)
+    }
+
+    /// A peer sent (or, if negative, saw the end of) so many requests there at about that time.
+    pub fn peer_changed(&mut self, index: EndpointIndex, by: i32, at_ms: u64) {
+        self.endpoints[index.0].load.changed(at_ms, by);
+    }
+
+    /// The endpoint takes new work no longer, or again.
+    pub fn leaving(&mut self, index: EndpointIndex, leaving: bool) {
+        self.endpoints[index.0].leaving = leaving;
+    }
+
+    /// Compares the pace of those that serve the same target and ejects the slow ones, though
+    /// never more than half of a target's endpoints. Returns those it ejected.
+    pub fn judge(&mut self, now_ms: u64) -> Vec<EndpointIndex> {
+        let mut ejected = Vec::new();
+        if self.settings.routing != Routing::Full {
+            return ejected;
+        }
+        for target in self.targets.values() {
+            let members: Vec<_> = target.home.iter().chain(&target.remote).copied().collect();
+            let is_out = |it: &&EndpointIndex| {
+                matches!(self.endpoints[it.0].pace.standing(now_ms), Standing::Ejected { .. })
+            };
+            let mut out = members.iter().filter(is_out).count();
+            let Some(median_ms) = median_token_ms(&self.endpoints, &members) else { continue };
+            for &index in &members {
+                if (out + 1) * 2 > members.len() {
+                    break;
+                }
+                let pace = &mut self.endpoints[index.0].pace;
+                if pace.judge(median_ms, self.settings.outlier_factor, now_ms) {
+                    out += 1;
+                    ejected.push(index);
+                }
+            }
+        }
+        ejected
+    }
+
+    /// The key under which a model, with or without an adapter, is served.
+    pub(crate) fn target_key(&self, target: &str) -> Option<usize> {
+        let base = target.split_once(':').map_or(target, |(base, _)| base);
+        self.targets.get_index_of(target).or_else(|| self.targets.get_index_of(base))
+    }
+
+    fn place(&mut self, name: &Name) -> EndpointIndex {
+        if let Some(index) = self.names.get(name) {
+            return *index;
+        }
+        let unused = self.endpoints.iter().position(|it| it.removed && it.load.own() == 0);
+        let endpoint = Endpoint::unknown(name.clone());
+        let index = match unused {
+            Some(at) => {
+                let old = std::mem::replace(&mut self.endpoints[at], endpoint);
+                self.names.swap_remove(&old.name);
+                EndpointIndex(at)
+            }
+            None => {
+                self.endpoints.push(endpoint);
+                EndpointIndex(self.endpoints.len() - 1)
+            }
+        };
+        self.names.insert(name.clone(), index);
+        index
+    }
+}
+
+impl Endpoint {
+    fn unknown(name: Name) -> Endpoint {
+        Endpoint {
+            name,
+            kind: Kind::Model,
+            slots: 1,
+            load: Load::default(),
+            pace: Pace::new(FIRST_TOKEN_PACE_MS, FIRST_TOKEN_WAIT_MS),
+            leaving: false,
+            removed: false,
+            price_there: 0.0,
+            price_back: 0.0,
+            is_home: true,
+        }
+    }
+
+    /// Slots that may be used at that moment.
+    pub fn usable_slots(&self, now_ms: u64) -> u32 {
+        if self.leaving || self.removed {
+            return 0;
+        }
+        match self.pace.usable_percent(now_ms) {
+            0 => 0,
+            percent => (u64::from(self.slots) * percent / 100).max(1) as u32,
+        }
+    }
+}
+
+impl Target {
+    /// Notes that a tier asks for the target.
+    pub(crate) fn asked(&mut self, rank: usize, now_ms: u64) {
+        self.demand_ms[rank.min(RANK_LIMIT - 1)] = now_ms;
+    }
+
+    /// Whether a higher tier than this one asked for the target of late.
+    pub(crate) fn higher_asked(&self, rank: usize, now_ms: u64) -> bool {
+        let higher = &self.demand_ms[..rank.min(RANK_LIMIT)];
+        higher.iter().any(|&it| it > 0 && now_ms.saturating_sub(it) <= DEMAND_MEMORY_MS)
+    }
+}
+
+fn median_token_ms(endpoints: &[Endpoint], members: &[EndpointIndex]) -> Option<f64> {
+    let paces = members.iter().map(|it| &endpoints[it.0].pace).filter(|it| it.is_known());
+    let mut paces: Vec<f64> = paces.map(Pace::token_ms).collect();
+    if paces.len() < 2 {
+        return None;
+    }
+    paces.sort_by(f64::total_cmp);
+    Some(paces[(paces.len() - 1) / 2])
+}
+
+fn price(sheet: &Sheet, from: &Name, to: &Name) -> f64 {
+    let priced = sheet.prices.iter().find(|it| it.from == *from && it.to == *to);
+    priced.map_or(0.0, |it| it.per_gigabyte)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,8 +4,14 @@
 //! random number: time comes in as milliseconds and randomness as a number, so
 //! that the code which runs is the code which is model-checked and benchmarked.
 
+pub mod choose;
+pub mod fleet;
+pub mod load;
 pub mod name;
 pub mod outcome;
+pub mod pace;
+pub mod queue;
+pub mod share;
 pub mod sheet;
 
 pub use name::Name;
