--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,12 +4,18 @@
 //! random number: time comes in as milliseconds and randomness as a number, so
 //! that the code which runs is the code which is model-checked and benchmarked.
 
+pub mod choose;
 pub mod edit;
+pub mod fleet;
 pub mod fold;
+pub mod load;
 pub mod log;
 pub mod name;
 pub mod outcome;
+pub mod pace;
+pub mod queue;
 pub mod record;
+pub mod share;
 pub mod sheet;
 
 pub use name::Name;
