Add the fault-injecting proxy

Cause: the promises have to be proved with real processes and a network that fails between them; cutting at the stand-in itself cannot separate "the request arrived" from "the answer left".

A cut one way holds the bytes and passes them on when healed, as TCP's own retransmission would; throwing them away was ruled out because it would corrupt the stream after healing. After a cut behind the request's last byte the target's side stays open and is drained, so that the run is certain and only the caller's knowledge of it is lost.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod batch;
 mod body;
+mod framing;
 mod gate;
 mod prefix;
 mod server;
@@ -14,8 +15,10 @@
 pub mod answer;
 pub mod engine;
 pub mod platform;
+pub mod proxy;
 pub mod service;
 
 pub use engine::{Engine, EngineFaults, EngineSettings, Leaving, RunEnd, RunRecord};
 pub use platform::{Entry, Platform, PlatformFaults, PlatformSettings};
+pub use proxy::{Flow, Proxy, ProxyFaults};
 pub use service::{Service, ServiceFaults, ServiceRun};
--- a/crates/standins/tests/it/main.rs
+++ b/crates/standins/tests/it/main.rs
@@ -3,4 +3,5 @@
 mod client;
 mod engine;
 mod platform;
+mod proxy;
 mod service;
