Check sheets whole and report every finding with its place

A planner who mends a sheet one error at a time loses the morning, and serde stops at the first misfit. The YAML events of granit-parser (as serde-saphyr re-exports it) are built into a tree that knows its places; a serde deserializer over that tree says where an error arose, the misfit is filled in and the reading tried again, so that one run names every type error, unknown and missing field; the checks across the sheet follow on what was read, less those that rest on a filled-in part.

Ruled out: serde-saphyr alone (first error only; Spanned fields would put places into every type of the sheet), and a hand-written reader for each struct (logic twice, and the daemon's settings would need a third).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,9 +4,15 @@
 //! random number: time comes in as milliseconds and randomness as a number, so
 //! that the code which runs is the code which is model-checked and benchmarked.
 
+pub mod check;
+pub mod finding;
 pub mod name;
+pub mod node;
 pub mod outcome;
+pub mod reading;
 pub mod sheet;
+mod tree;
 
+pub use finding::{Finding, Findings, Severity};
 pub use name::Name;
 pub use outcome::{Outcome, Reason};
--- /dev/null
+++ b/crates/core/src/tree.rs
@@ -0,0 +1,525 @@
+//! Serde's view of a [`Node`], with errors that know where they arose.
+
+use std::fmt;
+
+use serde::{
+    Deserializer,
+    de::{self, DeserializeSeed, Expected, Unexpected, Visitor},
+    forward_to_deserialize_any,
+};
+
+use crate::{
+    finding::{Path, Place, Step},
+    node::{Key, Node, Value},
+};
+
+/// Text that fills in for a wrong one. It parses as an address too.
+const FILLING: &str = "0.0.0.0:0";
+
+/// What must be mended to read on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// The value itself.
+    Value,
+    /// A field that is not there.
+    Missing(&'static str),
+    /// A field that nobody knows.
+    Unknown(String),
+}
+
+/// Why a value could not be read.
+#[derive(Clone, Debug)]
+pub(crate) struct ReadError(pub(crate) Box<Misfit>);
+
+/// A value that does not fit its type.
+#[derive(Clone, Debug)]
+pub(crate) struct Misfit {
+    /// The value it arose in.
+    pub(crate) at: Path,
+    pub(crate) fault: Fault,
+    pub(crate) found: String,
+    pub(crate) expected: String,
+    /// Place of the field's name, where that is what is wrong.
+    pub(crate) key_place: Option<Place>,
+    placed: bool,
+}
+
+impl Misfit {
+    /// The value, or the field in it, that is wrong.
+    pub(crate) fn path(&self) -> Path {
+        match &self.fault {
+            Fault::Value => self.at.clone(),
+            Fault::Missing(field) => self.at.field(field),
+            Fault::Unknown(field) => self.at.field(field),
+        }
+    }
+}
+
+impl ReadError {
+    fn new(fault: Fault, found: String, expected: String) -> ReadError {
+        let at = Path::root();
+        ReadError(Box::new(Misfit { at, fault, found, expected, key_place: None, placed: false }))
+    }
+
+    fn at(mut self, trail: &Trail<'_>) -> ReadError {
+        if !self.0.placed {
+            self.0.at = trail.path();
+            self.0.placed = true;
+        }
+        self
+    }
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "found {}, expected {}", self.0.found, self.0.expected)
+    }
+}
+
+impl std::error::Error for ReadError {}
+
+impl de::Error for ReadError {
+    fn custom<T: fmt::Display>(message: T) -> ReadError {
+        ReadError::new(Fault::Value, format!("a wrong value ({message})"), String::new())
+    }
+
+    fn invalid_type(found: Unexpected<'_>, expected: &dyn Expected) -> ReadError {
+        ReadError::new(Fault::Value, found.to_string(), in_words(&expected.to_string()))
+    }
+
+    fn invalid_value(found: Unexpected<'_>, expected: &dyn Expected) -> ReadError {
+        ReadError::new(Fault::Value, found.to_string(), in_words(&expected.to_string()))
+    }
+
+    fn unknown_variant(found: &str, expected: &'static [&'static str]) -> ReadError {
+        ReadError::new(Fault::Value, format!("\"{found}\""), one_of(expected))
+    }
+
+    fn unknown_field(found: &str, expected: &'static [&'static str]) -> ReadError {
+        let fault = Fault::Unknown(found.to_owned());
+        ReadError::new(fault, "an unknown field".to_owned(), one_of(expected))
+    }
+
+    fn missing_field(field: &'static str) -> ReadError {
+        let fault = Fault::Missing(field);
+        ReadError::new(fault, "nothing".to_owned(), format!("the field `{field}`"))
+    }
+}
+
+fn one_of(names: &[&str]) -> String {
+    let names: Vec<String> = names.iter().map(|it| format!("`{it}`")).collect();
+    format!("one of {}", names.join(", "))
+}
+
+/// Serde's names of types in words for operators.
+fn in_words(expected: &str) -> String {
+    match expected {
+        "u8" | "u16" | "u32" | "u64" | "usize" => "a whole number of 0 or more".to_owned(),
+        "i8" | "i16" | "i32" | "i64" | "isize" => "a whole number".to_owned(),
+        "f32" | "f64" => "a number".to_owned(),
+        "bool" => "a boolean, true or false".to_owned(),
+        other if other.starts_with("struct ") => "a mapping of fields".to_owned(),
+        other => other.to_owned(),
+    }
+}
+
+/// The way to a value while it is being read.
+struct Trail<'a> {
+    parent: Option<&'a Trail<'a>>,
+    step: Option<Step>,
+}
+
+impl Trail<'_> {
+    fn path(&self) -> Path {
+        let mut steps = Vec::new();
+        let mut trail = Some(self);
+        while let Some(it) = trail {
+            steps.extend(it.step.clone());
+            trail = it.parent;
+        }
+        steps.reverse();
+        Path(steps)
+    }
+}
+
+/// Reads a [`Node`] for serde.
+pub(crate) struct TreeDeserializer<'a, 't> {
+    node: &'a Node,
+    trail: Trail<'t>,
+}
+
+impl<'a, 't> TreeDeserializer<'a, 't> {
+    pub(crate) fn new(node: &'a Node) -> TreeDeserializer<'a, 't> {
+        TreeDeserializer { node, trail: Trail { parent: None, step: None } }
+    }
+
+    fn unexpected<V: Visitor<'a>>(&self, visitor: &V) -> ReadError {
+        let unexpected = match &self.node.value {
+            Value::Scalar { .. } if self.node.is_null() => Unexpected::Unit,
+            Value::Scalar { text, .. } => Unexpected::Str(text),
+            Value::Sequence(_) => Unexpected::Seq,
+            Value::Mapping(_) => Unexpected::Map,
+            Value::Hole => Unexpected::Other("a hole"),
+        };
+        de::Error::invalid_type(unexpected, visitor)
+    }
+
+    /// A scalar that may be a number or a truth value.
+    fn plain(&self) -> Option<&'a str> {
+        match &self.node.value {
+            Value::Scalar { text, plain: true } => Some(text),
+            _ => None,
+        }
+    }
+
+    fn any<V: Visitor<'a>>(&self, visitor: V) -> Result<V::Value, ReadError> {
+        match &self.node.value {
+            Value::Hole => visitor.visit_unit(),
+            Value::Sequence(_) => self.seq(visitor),
+            Value::Mapping(_) => self.map(visitor, &[]),
+            Value::Scalar { .. } if self.node.is_null() => visitor.visit_unit(),
+            Value::Scalar { text, plain: true } => match scalar(text) {
+                Scalar::Bool(it) => visitor.visit_bool(it),
+                Scalar::Unsigned(it) => visitor.visit_u64(it),
+                Scalar::Signed(it) => visitor.visit_i64(it),
+                Scalar::Float(it) => visitor.visit_f64(it),
+                Scalar::Text => visitor.visit_str(text),
+            },
+            Value::Scalar { text, .. } => visitor.visit_str(text),
+        }
+    }
+
+    fn number<V: Visitor<'a>>(&self, visitor: V) -> Result<V::Value, ReadError> {
+        if matches!(self.node.value, Value::Hole) {
+            return visitor.visit_u64(0);
+        }
+        match self.plain().map(scalar) {
+            Some(Scalar::Unsigned(it)) => visitor.visit_u64(it),
+            Some(Scalar::Signed(it)) => visitor.visit_i64(it),
+            Some(Scalar::Float(it)) => visitor.visit_f64(it),
+            _ => Err(self.unexpected(&visitor)),
+        }
+    }
+
+    fn boolean<V: Visitor<'a>>(&self, visitor: V) -> Result<V::Value, ReadError> {
+        if matches!(self.node.value, Value::Hole) {
+            return visitor.visit_bool(false);
+        }
+        match self.plain().map(scalar) {
+            Some(Scalar::Bool(it)) => visitor.visit_bool(it),
+            _ => Err(self.unexpected(&visitor)),
+        }
+    }
+
+    fn text<V: Visitor<'a>>(&self, visitor: V) -> Result<V::Value, ReadError> {
+        match &self.node.value {
+            Value::Hole => visitor.visit_str(FILLING),
+            Value::Scalar { text, .. } if !self.node.is_null() => visitor.visit_str(text),
+            _ => Err(self.unexpected(&visitor)),
+        }
+    }
+
+    fn seq<V: Visitor<'a>>(&self, visitor: V) -> Result<V::Value, ReadError> {
+        match &self.node.value {
+            Value::Hole => visitor.visit_seq(Elements { nodes: &[], at: 0, trail: &self.trail }),
+            Value::Sequence(nodes) => {
+                visitor.visit_seq(Elements { nodes, at: 0, trail: &self.trail })
+            }
+            _ => Err(self.unexpected(&visitor)),
+        }
+    }
+
+    fn map<V: Visitor<'a>>(
+        &self,
+        visitor: V,
+        fields: &'static [&'static str],
+    ) -> Result<V::Value, ReadError> {
+        let trail = &self.trail;
+        match &self.node.value {
+            Value::Hole => visitor.visit_map(Filled { fields, node: self.node, trail }),
+            Value::Mapping(entries) => {
+                visitor.visit_map(Entries { entries, value: None, fields, trail })
+            }
+            _ => Err(self.unexpected(&visitor)),
+        }
+    }
+
+    fn variant<V: Visitor<'a>>(
+        &self,
+        visitor: V,
+        variants: &'static [&'static str],
+    ) -> Result<V::Value, ReadError> {
+        use de::IntoDeserializer;
+        match &self.node.value {
+            Value::Hole => {
+                let first = variants.first().copied().unwrap_or_default();
+                visitor.visit_enum(first.into_deserializer())
+            }
+            Value::Scalar { text, .. } if !self.node.is_null() => {
+                visitor.visit_enum(text.as_str().into_deserializer())
+            }
+            Value::Mapping(entries) if entries.len() == 1 => {
+                visitor.visit_enum(Variant { entry: &entries[0], trail: &self.trail })
+            }
+            _ => Err(self.unexpected(&visitor)),
+        }
+    }
+}
+
+macro_rules! reads {
+    ($($method:ident => $reader:ident),* $(,)?) => {
+        $(fn $method<V: Visitor<'a>>(self, visitor: V) -> Result<V::Value, ReadError> {
+            self.$reader(visitor).map_err(|it| it.at(&self.trail))
+        })*
+    };
+}
+
+impl<'a> Deserializer<'a> for TreeDeserializer<'a, '_> {
+    type Error = ReadError;
+
+    reads! {
+        deserialize_any => any,
+        deserialize_bool => boolean,
+        deserialize_u8 => number,
+        deserialize_u16 => number,
+        deserialize_u32 => number,
+        deserialize_u64 => number,
+        deserialize_i8 => number,
+        deserialize_i16 => number,
+        deserialize_i32 => number,
+        deserialize_i64 => number,
+        deserialize_f32 => number,
+        deserialize_f64 => number,
+        deserialize_str => text,
+        deserialize_string => text,
+        deserialize_identifier => text,
+        deserialize_seq => seq,
+    }
+
+    fn deserialize_option<V: Visitor<'a>>(self, visitor: V) -> Result<V::Value, ReadError> {
+        if self.node.is_null() || matches!(self.node.value, Value::Hole) {
+            return visitor.visit_none();
+        }
+        visitor.visit_some(self)
+    }
+
+    fn deserialize_newtype_struct<V: Visitor<'a>>(
+        self,
+        _name: &'static str,
+        visitor: V,
+    ) -> Result<V::Value, ReadError> {
+        visitor.visit_newtype_struct(self)
+    }
+
+    fn deserialize_map<V: Visitor<'a>>(self, visitor: V) -> Result<V::Value, ReadError> {
+        self.map(visitor, &[]).map_err(|it| it.at(&self.trail))
+    }
+
+    fn deserialize_struct<V: Visitor<'a>>(
+        self,
+        _name: &'static str,
+        fields: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, ReadError> {
+        self.map(visitor, fields).map_err(|it| it.at(&self.trail))
+    }
+
+    fn deserialize_enum<V: Visitor<'a>>(
+        self,
+        _name: &'static str,
+        variants: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, ReadError> {
+        self.variant(visitor, variants).map_err(|it| it.at(&self.trail))
+    }
+
+    forward_to_deserialize_any! {
+        <V: Visitor<'a>>
+        i128 u128 char bytes byte_buf unit unit_struct tuple tuple_struct ignored_any
+    }
+}
+
+struct Elements<'a, 't> {
+    nodes: &'a [Node],
+    at: usize,
+    trail: &'t Trail<'t>,
+}
+
+impl<'a> de::SeqAccess<'a> for Elements<'a, '_> {
+    type Error = ReadError;
+
+    fn next_element_seed<T: DeserializeSeed<'a>>(
+        &mut self,
+        seed: T,
+    ) -> Result<Option<T::Value>, ReadError> {
+        let Some(node) = self.nodes.get(self.at) else {
+            return Ok(None);
+        };
+        let step = Some(Step::Index(self.at));
+        self.at += 1;
+        read(node, self.trail, step, seed).map(Some)
+    }
+
+    fn size_hint(&self) -> Option<usize> {
+        Some(self.nodes.len() - self.at)
+    }
+}
+
+struct Entries<'a, 't> {
+    entries: &'a [(Key, Node)],
+    value: Option<&'a (Key, Node)>,
+    /// The fields that are known; empty if any is.
+    fields: &'static [&'static str],
+    trail: &'t Trail<'t>,
+}
+
+impl<'a> de::MapAccess<'a> for Entries<'a, '_> {
+    type Error = ReadError;
+
+    fn next_key_seed<K: DeserializeSeed<'a>>(
+        &mut self,
+        seed: K,
+    ) -> Result<Option<K::Value>, ReadError> {
+        use de::{Error, IntoDeserializer};
+        let Some((entry, rest)) = self.entries.split_first() else {
+            return Ok(None);
+        };
+        self.entries = rest;
+        self.value = Some(entry);
+        let key = &entry.0;
+        if !self.fields.is_empty() && !self.fields.contains(&key.text.as_str()) {
+            let mut error = ReadError::unknown_field(&key.text, self.fields);
+            error.0.key_place = Some(key.place);
+            return Err(error);
+        }
+        seed.deserialize(key.text.as_str().into_deserializer()).map(Some)
+    }
+
+    fn next_value_seed<V: DeserializeSeed<'a>>(&mut self, seed: V) -> Result<V::Value, ReadError> {
+        use de::Error;
+        let Some((key, node)) = self.value.take() else {
+            return Err(ReadError::custom("a value without a field"));
+        };
+        read(node, self.trail, Some(Step::Field(key.text.clone())), seed)
+    }
+}
+
+/// A struct of holes.
+struct Filled<'a, 't> {
+    fields: &'static [&'static str],
+    node: &'a Node,
+    trail: &'t Trail<'t>,
+}
+
+impl<'a> de::MapAccess<'a> for Filled<'a, '_> {
+    type Error = ReadError;
+
+    fn next_key_seed<K: DeserializeSeed<'a>>(
+        &mut self,
+        seed: K,
+    ) -> Result<Option<K::Value>, ReadError> {
+        use de::IntoDeserializer;
+        let Some((field, rest)) = self.fields.split_first() else {
+            return Ok(None);
+        };
+        self.fields = rest;
+        seed.deserialize((*field).into_deserializer()).map(Some)
+    }
+
+    fn next_value_seed<V: DeserializeSeed<'a>>(&mut self, seed: V) -> Result<V::Value, ReadError> {
+        read(self.node, self.trail, None, seed)
+    }
+}
+
+struct Variant<'a, 't> {
+    entry: &'a (Key, Node),
+    trail: &'t Trail<'t>,
+}
+
+impl<'a, 't> de::EnumAccess<'a> for Variant<'a, 't> {
+    type Error = ReadError;
+    type Variant = Variant<'a, 't>;
+
+    fn variant_seed<V: DeserializeSeed<'a>>(
+        self,
+        seed: V,
+    ) -> Result<(V::Value, Variant<'a, 't>), ReadError> {
+        use de::IntoDeserializer;
+        let name = self.entry.0.text.as_str();
+        Ok((seed.deserialize(name.into_deserializer())?, self))
+    }
+}
+
+impl Variant<'_, '_> {
+    fn step(&self) -> Option<Step> {
+        Some(Step::Field(self.entry.0.text.clone()))
+    }
+}
+
+impl<'a> de::VariantAccess<'a> for Variant<'a, '_> {
+    type Error = ReadError;
+
+    fn unit_variant(self) -> Result<(), ReadError> {
+        read(&self.entry.1, self.trail, self.step(), std::marker::PhantomData)
+    }
+
+    fn newtype_variant_seed<T: DeserializeSeed<'a>>(self, seed: T) -> Result<T::Value, ReadError> {
+        read(&self.entry.1, self.trail, self.step(), seed)
+    }
+
+    fn tuple_variant<V: Visitor<'a>>(self, _len: usize, visitor: V) -> Result<V::Value, ReadError> {
+        let step = self.step();
+        let trail = Trail { parent: Some(self.trail), step };
+        TreeDeserializer { node: &self.entry.1, trail }.deserialize_seq(visitor)
+    }
+
+    fn struct_variant<V: Visitor<'a>>(
+        self,
+        fields: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, ReadError> {
+        let step = self.step();
+        let trail = Trail { parent: Some(self.trail), step };
+        TreeDeserializer { node: &self.entry.1, trail }.deserialize_struct("", fields, visitor)
+    }
+}
+
+fn read<'a, S: DeserializeSeed<'a>>(
+    node: &'a Node,
+    parent: &Trail<'_>,
+    step: Option<Step>,
+    seed: S,
+) -> Result<S::Value, ReadError> {
+    let trail = Trail { parent: Some(parent), step };
+    seed.deserialize(TreeDeserializer { node, trail })
+}
+
+enum Scalar {
+    Bool(bool),
+    Unsigned(u64),
+    Signed(i64),
+    Float(f64),
+    Text,
+}
+
+/// What a plain scalar is, by the core schema of YAML 1.2 without octal and hexadecimal.
+fn scalar(text: &str) -> Scalar {
+    match text {
+        "true" | "True" | "TRUE" => return Scalar::Bool(true),
+        "false" | "False" | "FALSE" => return Scalar::Bool(false),
+        _ => {}
+    }
+    if !text.starts_with(|it: char| it.is_ascii_digit() || matches!(it, '+' | '-' | '.')) {
+        return Scalar::Text;
+    }
+    if let Ok(it) = text.parse() {
+        return Scalar::Unsigned(it);
+    }
+    if let Ok(it) = text.parse() {
+        return Scalar::Signed(it);
+    }
+    match text.parse::<f64>() {
+        Ok(it) if it.is_finite() => Scalar::Float(it),
+        _ => Scalar::Text,
+    }
+}
--- /dev/null
+++ b/crates/core/tests/check.rs
@@ -0,0 +1,259 @@
+//! Sheets that are checked, and what is found in them.
+
+use quickcheck::quickcheck;
+use tanagergauge_core::{
+    Findings,
+    check::{check_sheet, parse_sheet, review_sheet},
+    sheet::Sheet,
+};
+
+const KULJUS: &str = include_str!("../../../examples/kuljus.yaml");
+const LANTERN_ROW: &str = include_str!("../../../examples/lantern-row.yaml");
+
+/// The small good sheet that the cases below change.
+const GOOD: &str = "\
+sheet: small
+availability_zones:
+  - { name: tallinn-1, region: tallinn }
+  - { name: tartu-1, region: tartu }
+tiers:
+  - name: live
+  - name: deferred
+classes:
+  - name: booth-rewrite
+    tier: live
+    first_token_ms: 500
+    whole_answer_ms: 3000
+    floor_percent: 60
+  - name: weekend-backlog
+    tier: deferred
+    first_token_ms: 60000
+    whole_answer_ms: 600000
+    floor_percent: 40
+client_accounts:
+  - name: booth
+    share_percent: 70
+    credentials:
+      - blake3: 4128b19dd153f89c77f6c3fc4c63ca7de11406bce8e84c04230624684dfde453
+  - name: archive
+    share_percent: 30
+    classes: [weekend-backlog]
+    credentials:
+      - blake3: 68e8843ef1bee2bd6ab48a4f982b6b25000e20d45bf877c143f31c23bc035195
+models:
+  - name: libretto
+endpoints:
+  - name: engine-1
+    availability_zone: tallinn-1
+    address: 127.0.0.1:8001
+    serves: [libretto]
+    slots: 8
+  - name: engine-2
+    availability_zone: tartu-1
+    address: 127.0.0.1:8002
+    serves: [libretto]
+    slots: 8
+prices:
+  - { from: tallinn, to: tartu, per_gigabyte: 0.1 }
+";
+
+fn changed(from: &str, to: &str) -> String {
+    assert!(GOOD.contains(from), "nothing to change: {from}");
+    GOOD.replacen(from, to, 1)
+}
+
+fn found_in(text: &str) -> String {
+    let (_, findings) = review_sheet(text);
+    findings.report("sheet.yaml", text).to_string()
+}
+
+/// Each case changes the good sheet in one place and names the only line reported.
+macro_rules! cases {
+    ($($name:ident: $from:expr => $to:expr, $reported:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            let report = found_in(&changed($from, $to));
+            let lines: Vec<&str> =
+                report.lines().filter(|it| it.starts_with("sheet.yaml:")).collect();
+            assert_eq!(lines, [concat!("sheet.yaml:", $reported)]);
+        })*
+    };
+}
+
+cases! {
+    unknown_field: "    slots: 8\n" => "    slotz: 8\n    slots: 8\n",
+        "36:5: error: endpoints[0].slotz: found an unknown field, expected one of `name`, `availability_zone`, `address`, `kind`, `serves`, `slots`, `checks_fencing`, `checks_orders`";
+    missing_field: "    tier: live\n" => "",
+        "9:5: error: classes[0].tier: found nothing, expected the field `tier`";
+    field_twice: "    slots: 8\n" => "    slots: 8\n    slots: 9\n",
+        "37:5: error: endpoints[0].slots: found the field `slots` for the second time, expected each field once";
+    wrong_type: "slots: 8" => "slots: many",
+        "36:12: error: endpoints[0].slots: found string \"many\", expected a whole number of 0 or more";
+    negative_number: "first_token_ms: 500" => "first_token_ms: -500",
+        "11:21: error: classes[0].first_token_ms: found integer `-500`, expected a whole number of 0 or more";
+    wrong_shape: "serves: [libretto]" => "serves: libretto",
+        "35:13: error: endpoints[0].serves: found string \"libretto\", expected a sequence";
+    wrong_kind: "    tier: live" => "    kind: modle\n    tier: live",
+        "10:11: error: classes[0].kind: found \"modle\", expected one of `model`, `service`";
+    wrong_address: "127.0.0.1:8001" => "engine.example:8001",
+        "34:14: error: endpoints[0].address: found a wrong value (invalid socket address syntax)";
+    duplicate_account: "name: archive" => "name: booth",
+        "24:11: error: client_accounts[1].name: found the name \"booth\" again, expected each name once";
+    duplicate_address: "127.0.0.1:8002" => "127.0.0.1:8001",
+        "39:14: error: endpoints[1].address: found 127.0.0.1:8001, the address of \"engine-1\", expected an address of its own";
+    unknown_tier: "tier: live" => "tier: lively",
+        "10:11: error: classes[0].tier: found the unknown name \"lively\", expected a name in `tiers`";
+    unknown_class: "[weekend-backlog]" => "[weekend]",
+        "26:15: error: client_accounts[1].classes[0]: found the unknown name \"weekend\", expected a name in `classes`";
+    unknown_zone: "availability_zone: tartu-1" => "availability_zone: narva-1",
+        "38:24: error: endpoints[1].availability_zone: found the unknown name \"narva-1\", expected a name in `availability_zones`";
+    unknown_model: "serves: [libretto]" => "serves: [libretti]",
+        "35:14: error: endpoints[0].serves[0]: found the unknown model \"libretti\", expected a name in `models`";
+    unknown_region: "to: tartu" => "to: narva",
+        "43:26: error: prices[0].to: found the unknown region \"narva\", expected the region of an availability zone";
+    price_to_itself: "to: tartu" => "to: tallinn",
+        "43:26: error: prices[0].to: found \"tallinn\", where the bytes come from, expected another region";
+    negative_price: "per_gigabyte: 0.1" => "per_gigabyte: -0.1",
+        "43:47: error: prices[0].per_gigabyte: found -0.1, expected 0 or more";
+    zero_target: "first_token_ms: 500" => "first_token_ms: 0",
+        "11:21: error: classes[0].first_token_ms: found 0, expected 1 or more";
+    whole_before_first: "whole_answer_ms: 3000" => "whole_answer_ms: 300",
+        "12:22: error: classes[0].whole_answer_ms: found 300, expected at least `first_token_ms`, which is 500";
+    lengths_crossed: "    tier: live" => "    tier: live\n    output_tokens: { p50_tokens: 90, p95_tokens: 60 }",
+        "11:50: error: classes[0].output_tokens.p95_tokens: found 60, expected at least `p50_tokens`, which is 90";
+    too_long_for_the_deadline: "    tier: live" => "    tier: live\n    output_tokens: { p50_tokens: 9000, p95_tokens: 9000 }",
+        "11:34: error: classes[0].output_tokens.p50_tokens: found 9000 tokens for half of the answers, expected as many as fit in `whole_answer_ms`, which is 3000";
+    floors_beyond_all: "floor_percent: 40" => "floor_percent: 41",
+        "18:20: error: classes[1].floor_percent: found a sum of 101 % over the list, past 100 % here, expected 100 % at most";
+    shares_beyond_all: "share_percent: 30" => "share_percent: 30.5",
+        "25:20: error: client_accounts[1].share_percent: found a sum of 100.5 % over the list, past 100 % here, expected 100 % at most";
+    negative_share: "share_percent: 30" => "share_percent: -30",
+        "25:20: error: client_accounts[1].share_percent: found -30, expected 0 to 100";
+    bad_hash: "blake3: 4128b19d" => "blake3: 4128B19d",
+        "23:17: error: client_accounts[0].credentials[0].blake3: found \"4128B19dd153f89c77f6c3fc4c63ca7de11406bce8e84c04230624684dfde453\", expected 64 hexadecimal digits in lower case";
+    shared_credential: "68e8843ef1bee2bd6ab48a4f982b6b25000e20d45bf877c143f31c23bc035195" => "4128b19dd153f89c77f6c3fc4c63ca7de11406bce8e84c04230624684dfde453",
+        "28:17: error: client_accounts[1].credentials[0].blake3: found the credential of \"booth\", expected a credential of this account only";
+    class_without_endpoint: "    tier: live" => "    kind: service\n    tier: live",
+        "10:11: error: classes[0].kind: found a class of kind service without an endpoint, expected an endpoint of that kind";
+    model_without_endpoint: "  - name: libretto\n" => "  - name: libretto\n  - name: spare\n",
+        "31:5: warning: models[1]: found a model without an endpoint, expected one that serves it";
+    improper_name: "- name: archive" => "- name: the archive",
+        "24:11: error: client_accounts[1].name: found the name \"the archive\", expected 1 to 64 visible ASCII characters";
+    no_slots: "slots: 8" => "slots: 0",
+        "36:12: error: endpoints[0].slots: found 0, expected 1 or more";
+    no_port: "127.0.0.1:8001" => "127.0.0.1:0",
+        "34:14: error: endpoints[0].address: found 127.0.0.1:0, expected the IP number and port of one instance";
+    no_tiers_field: "tiers:\n  - name: live\n  - name: deferred\n" => "",
+        "1:1: error: tiers: found nothing, expected the field `tiers`";
+    an_alias: "name: tallinn-1, region: tallinn" => "name: &zone tallinn-1, region: *zone",
+        "3:38: error: availability_zones[0].region: found an alias, expected the value itself";
+}
+
+#[test]
+fn good_sheets_are_without_findings() {
+    for text in [GOOD, KULJUS, LANTERN_ROW] {
+        assert_eq!(found_in(text), "");
+        assert!(check_sheet(&parse_sheet(text).unwrap()).is_empty());
+    }
+}
+
+#[test]
+fn all_findings_come_at_once() {
+    let text = GOOD
+        .replace("tier: live", "tier: lively")
+        .replacen("slots: 8", "slots: many", 1)
+        .replace("127.0.0.1:8002", "nowhere")
+        .replace("share_percent: 30", "share_percent: 60")
+        .replace("whole_answer_ms: 600000", "whole_answer_s: 600");
+    let findings = parse_sheet(&text).unwrap_err();
+    let paths: Vec<String> = findings.iter().map(|it| it.path.to_string()).collect();
+    let expected = [
+        "classes[0].tier",
+        "classes[1].whole_answer_ms",
+        "classes[1].whole_answer_s",
+        "client_accounts[1].share_percent",
+        "endpoints[0].slots",
+        "endpoints[1].address",
+    ];
+    assert_eq!(paths, expected);
+}
+
+#[test]
+fn an_excerpt_points_at_the_place() {
+    let report = found_in(&changed("tier: live", "tier: lively"));
+    let expected = "  10 |     tier: lively\n     |           ^^^^^^\n";
+    assert!(report.ends_with(expected), "{report}");
+}
+
+#[test]
+fn broken_yaml_is_one_finding() {
+    let findings = parse_sheet("sheet: [small\ntiers: ]").unwrap_err();
+    assert_eq!(findings.len(), 1);
+    assert!(findings.iter().all(|it| it.found.starts_with("broken YAML")));
+}
+
+#[test]
+fn deep_nesting_is_a_finding() {
+    let text = format!("sheet: {}{}", "[".repeat(200), "]".repeat(200));
+    assert!(found_in(&text).contains("nested too deeply"));
+}
+
+#[test]
+fn a_sheet_survives_as_json() {
+    let sheet = parse_sheet(KULJUS).unwrap();
+    let text = serde_saphyr::to_string(&sheet).unwrap();
+    assert_eq!(parse_sheet(&text).unwrap(), sheet);
+}
+
+fn places_are_in(text: &str, findings: &Findings) -> bool {
+    let lines: Vec<usize> = text.lines().map(|it| it.chars().count()).collect();
+    findings.iter().all(|finding| {
+        let Some(place) = finding.place else {
+            return false;
+        };
+        let chars = lines.get(place.line - 1).copied().unwrap_or(0);
+        (1..=lines.len().max(1)).contains(&place.line)
+            && (1..=chars + 1).contains(&place.column)
+            && place.column + place.width <= chars + 2
+    })
+}
+
+/// Writes `scrap` over the text at `at`, at the boundary of characters.
+fn mutate(text: &mut String, at: usize, scrap: &str, remove: usize) {
+    let floor = |text: &str, at: usize| (0..=at).rev().find(|it| text.is_char_boundary(*it));
+    let start = floor(text, at % (text.len() + 1)).unwrap_or(0);
+    let end = floor(text, (start + remove).min(text.len())).unwrap_or(start);
+    text.replace_range(start..end.max(start), scrap);
+}
+
+/// Pieces that mean something to YAML or to a sheet.
+const SCRAPS: [&str; 16] =
+    ["", " ", "\n", ":", "- ", "[", "]", "{", "}", "\"", "&a ", "*a", "0", "-1", "é", "\t"];
+
+quickcheck! {
+    fn no_text_panics(text: String) -> bool {
+        let (_, findings) = review_sheet(&text);
+        findings.report("x", &text).to_string();
+        places_are_in(&text, &findings)
+    }
+
+    fn a_mutated_sheet_gives_places_in_the_text(edits: Vec<(usize, usize, u8)>) -> bool {
+        let mut text = GOOD.to_owned();
+        for (at, scrap, remove) in edits.into_iter().take(4) {
+            let scrap = SCRAPS[scrap % SCRAPS.len()];
+            mutate(&mut text, at, scrap, usize::from(remove % 9));
+        }
+        let (sheet, findings) = review_sheet(&text);
+        findings.report("x", &text).to_string();
+        places_are_in(&text, &findings) && sheet.is_some() != findings.has_errors()
+    }
+}
+
+#[test]
+fn an_unnamed_sheet_is_found() {
+    let mut sheet: Sheet = parse_sheet(GOOD).unwrap();
+    sheet.classes[0].tier = "none".into();
+    let findings = check_sheet(&sheet);
+    assert!(findings.has_errors());
+    assert!(findings.iter().all(|it| it.place.is_none()));
+}
