Serve requests from one end to the other

Cause: nothing ran yet. The instance now reads its settings, follows the stream of sheets, accepts chat completions and plain services, queues them (first come, round robin: the baseline for the policy), and tells each caller one of answered, not run and unknown. Ruled out: hyper-util's pooled client, which repeats requests on its own when a pooled connection turns out closed; the pool here never repeats, and a request that may not be repeated always gets a fresh connection. Measured: nothing yet. Not yet done: idempotency keys are required but not looked up.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,22 +4,22 @@
 //! random number: time comes in as milliseconds and randomness as a number, so
 //! that the code which runs is the code which is model-checked and benchmarked.
 
+pub mod check;
 pub mod choose;
 pub mod edit;
+pub mod finding;
 pub mod fleet;
 pub mod fold;
 pub mod load;
 pub mod log;
-pub mod check;
-pub mod finding;
 pub mod name;
 pub mod node;
 pub mod outcome;
 pub mod pace;
 pub mod queue;
+pub mod reading;
 pub mod record;
 pub mod share;
-pub mod reading;
 pub mod sheet;
 mod tree;
 
--- /dev/null
+++ b/crates/daemon/src/exchange.rs
@@ -0,0 +1,140 @@
+//! A request whose answer is delivered whole.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    body::Incoming,
+    header::{HeaderName, HeaderValue},
+};
+use serde::de::IgnoredAny;
+use tanagergauge_core::{Name, Outcome, Reason, sheet::Kind};
+use tokio::time::timeout;
+
+use crate::{
+    attempt::{self, Answer, Failure},
+    body::AnswerBody,
+    dispatcher::Message,
+    headers,
+    refusal::Refusal,
+    shared::Shared,
+    work::{Attempts, Next, Work},
+};
+
+/// Longest wait for an endpoint beyond the caller's deadline; the answer still tells what became of it.
+const GRACE: Duration = Duration::from_millis(50);
+
+/// A whole answer of an endpoint.
+#[derive(Clone, Debug)]
+pub struct WholeAnswer {
+    /// The endpoint's status.
+    pub status: StatusCode,
+    /// The endpoint's headers that go on to the caller.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl WholeAnswer {
+    /// The answer as the caller gets it.
+    pub fn response(self, request_id: &Name) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::whole(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        let map = response.headers_mut();
+        headers::insert_text(map, headers::REQUEST_ID, request_id);
+        map.insert(headers::OUTCOME, HeaderValue::from_static(Outcome::Answered.into()));
+        response
+    }
+}
+
+/// Runs a request until an endpoint's whole answer is here.
+///
+/// # Errors
+/// What the caller is told if there is none.
+pub async fn run(shared: &Shared, work: &Work) -> Result<WholeAnswer, Refusal> {
+    let mut attempts = Attempts::default();
+    loop {
+        let permit = attempts.begin(shared, work).await?;
+        let failure =
+            match one_attempt(shared, work, permit.endpoint.address, attempts.number()).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+        note_leaving(shared, &permit.endpoint.name, failure.leaving);
+        match attempts.failed(shared, &permit.endpoint.name, failure, work) {
+            Next::Retry => {}
+            Next::GiveUp(refusal) => return Err(refusal),
+        }
+    }
+}
+
+/// Tells the dispatcher that an endpoint takes no new work.
+pub fn note_leaving(shared: &Shared, endpoint: &Name, leaving: bool) {
+    if leaving {
+        // The dispatcher is gone only when the process stops.
+        let _ = shared.dispatcher.send_message(Message::Leaving(endpoint.clone()));
+    }
+}
+
+async fn one_attempt(
+    shared: &Shared,
+    work: &Work,
+    address: std::net::SocketAddr,
+    number: u32,
+) -> Result<WholeAnswer, Failure> {
+    let left = work.time_left(shared.clock.now_ms()) + GRACE;
+    let whole = async {
+        let answer = attempt::open(&shared.pool, address, &work.call, number, left).await?;
+        read_whole(shared, work, answer).await
+    };
+    let answered = timeout(left, whole).await;
+    answered.unwrap_or(Err(Failure::after_send(Reason::EndpointTimeout)))
+}
+
+/// Reads an answer to its end and checks that it is one.
+///
+/// # Errors
+/// It broke off, is too large, or is no answer of its kind.
+pub async fn read_whole(
+    shared: &Shared,
+    work: &Work,
+    answer: Answer,
+) -> Result<WholeAnswer, Failure> {
+    let (response, connection, address) = answer.into_parts();
+    let (head, body) = response.into_parts();
+    let body = collect(body, shared.settings.limits.answer_bytes).await?;
+    Answer::finish(connection, address, &shared.pool);
+    if work.target.kind == Kind::Model {
+        check_model_answer(head.status, &body)?;
+    }
+    Ok(WholeAnswer { status: head.status, headers: headers::for_caller(&head.headers), body })
+}
+
+async fn collect(body: Incoming, limit_bytes: usize) -> Result<Bytes, Failure> {
+    match Limited::new(body, limit_bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Failure::after_send(Reason::BadAnswer))
+        }
+        Err(_) => Err(Failure::after_send(Reason::EndpointBroke)),
+    }
+}
+
+/// An engine's answer is a JSON document, and its own errors are not passed on.
+fn check_model_answer(status: StatusCode, body: &[u8]) -> Result<(), Failure> {
+    if status.is_server_error() {
+        return Err(Failure::after_send(Reason::EndpointBroke));
+    }
+    match serde_json::from_slice::<IgnoredAny>(body) {
+        Ok(_) => Ok(()),
+        Err(_) => Err(Failure::after_send(Reason::BadAnswer)),
+    }
+}
+
+/// The value of a header as text.
+pub fn header_text<'a>(map: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    map.get(name).and_then(|it| it.to_str().ok())
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,7 @@
-//! Placeholder.
-fn main() {}
+//! The entry instance of tanagergauge.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    tanagergauge_daemon::program::run()
+}
--- /dev/null
+++ b/crates/daemon/src/pool.rs
@@ -0,0 +1,92 @@
+//! Connections to endpoints, kept open between requests.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time::timeout};
+
+/// Idle connections kept for each endpoint.
+const MAX_IDLE_PER_ENDPOINT: usize = 64;
+
+/// A connection that can send one request at a time.
+pub type Connection = SendRequest<Full<Bytes>>;
+
+/// Idle connections by address.
+///
+/// Nothing is ever repeated here: whether a request may be sent again is
+/// decided where its outcome is known.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+/// A connection could not be opened, so no byte was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectFailed;
+
+impl Pool {
+    /// An idle connection if there is one, else a new one.
+    ///
+    /// # Errors
+    /// The endpoint did not accept within `connect_timeout`.
+    pub async fn get(
+        &self,
+        address: SocketAddr,
+        connect_timeout: Duration,
+    ) -> Result<Connection, ConnectFailed> {
+        match self.take_idle(address) {
+            Some(connection) => Ok(connection),
+            None => Pool::connect(address, connect_timeout).await,
+        }
+    }
+
+    /// A new connection, for requests that must not meet a stale one.
+    ///
+    /// # Errors
+    /// The endpoint did not accept within `connect_timeout`.
+    pub async fn connect(
+        address: SocketAddr,
+        connect_timeout: Duration,
+    ) -> Result<Connection, ConnectFailed> {
+        let open = async {
+            let socket = TcpStream::connect(address).await.ok()?;
+            socket.set_nodelay(true).ok()?;
+            http1::handshake(TokioIo::new(socket)).await.ok()
+        };
+        let opened = timeout(connect_timeout, open).await;
+        let (sender, connection) = opened.ok().flatten().ok_or(ConnectFailed)?;
+        tokio::spawn(async move {
+            // A broken connection shows at the request that uses it.
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    /// Gives back a connection whose last answer was read to its end.
+    pub fn put(&self, address: SocketAddr, connection: Connection) {
+        if connection.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.entry(address).or_default();
+        if connections.len() < MAX_IDLE_PER_ENDPOINT {
+            connections.push(connection);
+        }
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.get_mut(&address)?;
+        connections.retain(|it| !it.is_closed());
+        let ready = connections.iter().rposition(SendRequest::is_ready)?;
+        Some(connections.swap_remove(ready))
+    }
+}
