--- a/crates/core/src/check.rs
+++ b/crates/core/src/check.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     Name,
+    document::Document,
     finding::{Findings, Path},
-    reading::Reading,
     sheet::{Class, ClientAccount, Credential, Endpoint, Kind, Model, Price, Sheet},
 };
 
@@ -36,9 +36,9 @@
 
 /// Reads a sheet from YAML text and returns it, if it is without errors, with all findings.
 pub fn review_sheet(text: &str) -> (Option<Sheet>, Findings) {
-    let reading = Reading::<Sheet>::new(text);
-    let checked = reading.value.as_ref().map(check_sheet).unwrap_or_default();
-    reading.finish(checked)
+    let document = Document::<Sheet>::new(text);
+    let checked = document.value.as_ref().map(check_sheet).unwrap_or_default();
+    document.finish(checked)
 }
 
 /// Checks a sheet that has no text. The findings have no places.
--- a/crates/core/src/reading.rs
+++ b/crates/core/src/document.rs
@@ -13,7 +13,7 @@
 
 /// What was read from a text.
 #[derive(Debug)]
-pub struct Reading<T> {
+pub struct Document<T> {
     /// The value; if there are errors, wrong parts of it are filled in.
     pub value: Option<T>,
     /// What was found so far, with places.
@@ -22,23 +22,23 @@
     holes: Vec<Path>,
 }
 
-impl<T: DeserializeOwned> Reading<T> {
+impl<T: DeserializeOwned> Document<T> {
     /// Reads `text`.
     ///
     /// A value that does not fit is noted, filled in, and the reading tried again, so
     /// that one run reports every misfit.
-    pub fn new(text: &str) -> Reading<T> {
+    pub fn new(text: &str) -> Document<T> {
         let mut findings = Findings::default();
         let root = Node::parse(text, &mut findings);
         let holes = findings.iter().map(|it| it.path.clone()).collect();
-        let mut reading = Reading { value: None, findings, root, holes };
-        while reading.findings.len() < MAX_FINDINGS {
-            match reading.attempt() {
+        let mut document = Document { value: None, findings, root, holes };
+        while document.findings.len() < MAX_FINDINGS {
+            match document.attempt() {
                 Next::Again => {}
                 Next::Done => break,
             }
         }
-        reading
+        document
     }
 
     fn attempt(&mut self) -> Next {
@@ -73,7 +73,7 @@
     }
 }
 
-impl<T> Reading<T> {
+impl<T> Document<T> {
     /// Adds the findings of a check on the value, which has no places, and returns all.
     ///
     /// Findings on parts that were filled in are dropped.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,11 +5,11 @@
 //! that the code which runs is the code which is model-checked and benchmarked.
 
 pub mod check;
+pub mod document;
 pub mod finding;
 pub mod name;
 pub mod node;
 pub mod outcome;
-pub mod reading;
 pub mod sheet;
 mod tree;
 
