--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod choose;
 pub mod edit;
+pub mod document;
 pub mod finding;
 pub mod fleet;
 pub mod fold;
