Read settings with the sheet's located reader

Cause: settings and sheets are both YAML for people; the reader with places that was made for sheets serves both. Ruled out: the library's first error alone, since an operator would mend a file one error at a time.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,8 +6,8 @@
 
 pub mod check;
 pub mod choose;
-pub mod edit;
 pub mod document;
+pub mod edit;
 pub mod finding;
 pub mod fleet;
 pub mod fold;
@@ -18,7 +18,6 @@
 pub mod outcome;
 pub mod pace;
 pub mod queue;
-pub mod reading;
 pub mod record;
 pub mod share;
 pub mod sheet;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -10,8 +10,8 @@
 use tanagergauge_core::{
     Name,
     check::check_name,
+    document::Document,
     finding::{Findings, Path},
-    reading::Reading,
 };
 
 /// Smallest head that the HTTP library can be told to accept, in bytes.
@@ -121,9 +121,9 @@
     /// # Errors
     /// Everything that is wrong with them.
     pub fn parse(text: &str) -> Result<Settings, Findings> {
-        let reading = Reading::<Settings>::new(text);
-        let checked = reading.value.as_ref().map(Settings::check).unwrap_or_default();
-        let (settings, findings) = reading.finish(checked);
+        let document = Document::<Settings>::new(text);
+        let checked = document.value.as_ref().map(Settings::check).unwrap_or_default();
+        let (settings, findings) = document.finish(checked);
         settings.ok_or(findings)
     }
 
