Record the end of every request once, and bound open streams

Cause: a caller who leaves before the answer drops the request's future, and nothing recorded that end; limits.streams was read but not kept. After: a guard records caller_left when it is dropped unrecorded; streams take a slot until their last event. No test yet: it needs the harness.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -28,7 +28,9 @@
     body::AnswerBody,
     caller::{self, Caller},
     clock::unix_ms,
-    counters, exchange, headers,
+    counters,
+    ending::Ending,
+    exchange, headers,
     journal::EventKind,
     refusal::Refusal,
     shared::{Phase, Shared},
@@ -41,6 +43,8 @@
 const MAX_HEADERS: usize = 64;
 /// Pause after the system refused a connection, as when no descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// When to come again while too many streams are open, in milliseconds.
+const STREAMS_RETRY_MS: u64 = 1000;
 /// Path of chat completions.
 const CHAT_PATH: &str = "/v1/chat/completions";
 /// Prefix of the paths of plain services.
@@ -199,11 +203,7 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let (work, is_stream) = counted(read_chat(&shared, request, request_id).await)?;
     shared.journal.record(work.event(EventKind::RequestReceived));
-    if is_stream {
-        let result = stream::run(Arc::clone(&shared), work.clone()).await;
-        return result.inspect_err(|it| work.ended(&shared, Ended::Refused(it.clone())));
-    }
-    whole(shared, work).await
+    if is_stream { streamed(shared, work).await } else { whole(shared, work).await }
 }
 
 async fn service(
@@ -216,14 +216,34 @@
     whole(shared, work).await
 }
 
+async fn streamed(shared: Arc<Shared>, work: Work) -> Result<Response<AnswerBody>, Refusal> {
+    let ending = Ending::new(Arc::clone(&shared), work.clone());
+    let started = match Arc::clone(&shared.streams).try_acquire_owned() {
+        Ok(slot) => stream::run(shared, work, slot).await,
+        Err(_) => Err(Refusal::not_run(Reason::TooManyStreams, "too many streams are open")
+            .retry_after_ms(STREAMS_RETRY_MS)),
+    };
+    match started {
+        Ok(response) => {
+            ending.hand_over();
+            Ok(response)
+        }
+        Err(refusal) => {
+            ending.record(Ended::Refused(refusal.clone()));
+            Err(refusal)
+        }
+    }
+}
+
 async fn whole(shared: Arc<Shared>, work: Work) -> Result<Response<AnswerBody>, Refusal> {
+    let ending = Ending::new(Arc::clone(&shared), work.clone());
     match exchange::run(&shared, &work).await {
         Ok(answer) => {
-            work.ended(&shared, Ended::Answered);
+            ending.record(Ended::Answered);
             Ok(answer.response(&work.call.request_id))
         }
         Err(refusal) => {
-            work.ended(&shared, Ended::Refused(refusal.clone()));
+            ending.record(Ended::Refused(refusal.clone()));
             Err(refusal)
         }
     }
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -3,7 +3,11 @@
 use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use ractor::Actor;
-use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+    task::JoinHandle,
+};
 
 use crate::{
     clock::Clock,
@@ -74,6 +78,7 @@
         view,
         dispatcher,
         phase,
+        streams: Arc::new(Semaphore::new(settings.limits.streams)),
         progress: Progress::default(),
         journal: Journal::default(),
         settings,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod counters;
 pub mod dispatcher;
+pub mod ending;
 pub mod exchange;
 pub mod follower;
 pub mod front;
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -4,7 +4,7 @@
 
 use ractor::ActorRef;
 use tanagergauge_core::Reason;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::{
     clock::Clock, dispatcher, journal::Journal, pool::Pool, progress::Progress, refusal::Refusal,
@@ -37,6 +37,8 @@
     pub dispatcher: ActorRef<dispatcher::Message>,
     /// How far a planned stop has come.
     pub phase: watch::Receiver<Phase>,
+    /// Streams that may still be opened.
+    pub streams: Arc<Semaphore>,
     /// Requests in progress.
     pub progress: Progress,
     /// The latest decisions.
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -10,7 +10,10 @@
     header::{CONTENT_TYPE, HeaderValue},
 };
 use tanagergauge_core::{Name, Outcome, Reason};
-use tokio::{sync::mpsc, time::timeout};
+use tokio::{
+    sync::{OwnedSemaphorePermit, mpsc},
+    time::timeout,
+};
 
 use crate::{
     attempt::{self, Answer, Failure},
@@ -90,7 +93,11 @@
 ///
 /// # Errors
 /// What the caller is told if no event came; nothing was sent to the caller yet.
-pub async fn run(shared: Arc<Shared>, work: Work) -> Result<Response<AnswerBody>, Refusal> {
+pub async fn run(
+    shared: Arc<Shared>,
+    work: Work,
+    slot: OwnedSemaphorePermit,
+) -> Result<Response<AnswerBody>, Refusal> {
     let mut relay = Relay {
         shared,
         work,
@@ -99,8 +106,8 @@
         delivered: Delivered::default(),
     };
     match relay.next().await {
-        Relayed::Event(first) => Ok(relay.answer(first, false)),
-        Relayed::Done(first) => Ok(relay.answer(first, true)),
+        Relayed::Event(first) => Ok(relay.answer(first, false, slot)),
+        Relayed::Done(first) => Ok(relay.answer(first, true, slot)),
         Relayed::Whole(answer) => {
             relay.work.ended(&relay.shared, Ended::Answered);
             Ok(answer.response(&relay.work.call.request_id))
@@ -111,7 +118,12 @@
 
 impl Relay {
     /// The head of the answer; the rest is pumped by a task of its own.
-    fn answer(self, first: Bytes, is_done: bool) -> Response<AnswerBody> {
+    fn answer(
+        self,
+        first: Bytes,
+        is_done: bool,
+        slot: OwnedSemaphorePermit,
+    ) -> Response<AnswerBody> {
         let (sender, body) = AnswerBody::stream();
         let mut response = Response::new(body);
         if let Some(source) = &self.source {
@@ -125,8 +137,8 @@
         counters::first_token(class, Duration::from_millis(waited_ms));
         let in_progress = self.shared.progress.begin();
         tokio::spawn(async move {
-            let _in_progress = in_progress;
             self.pump(sender, first, is_done).await;
+            drop((slot, in_progress));
         });
         response
     }
