Read chunks of a stream by hand-written visitors, and test the reader

Cause: every generated token is parsed once; derived types built a list of choices, a string and a shared name for each. Also: data over several lines is no completion and counts as bad.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod body;
 pub mod caller;
+pub mod chunk;
 pub mod clock;
 pub mod counters;
 pub mod dispatcher;
--- a/crates/daemon/src/sse.rs
+++ b/crates/daemon/src/sse.rs
@@ -3,8 +3,8 @@
 use std::borrow::Cow;
 
 use bytes::{Bytes, BytesMut};
-use serde::{Deserialize, de::IgnoredAny};
-use tanagergauge_core::Name;
+
+use crate::chunk::Chunk;
 
 /// Largest single event that is accepted, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -32,9 +32,9 @@
 
 /// What one event means.
 #[derive(Debug, PartialEq, Eq)]
-pub enum Meaning {
+pub enum Meaning<'a> {
     /// A chunk of the completion.
-    Chunk(Chunk),
+    Chunk(Chunk<'a>),
     /// A comment or an event without data.
     Nothing,
     /// The stream ended whole.
@@ -43,45 +43,6 @@
     Bad,
 }
 
-/// What of a chunk matters to the router.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Chunk {
-    /// Id of the completion; the same in all chunks of one attempt.
-    pub id: Option<Name>,
-    /// Generated text in the chunk; empty if it carries none.
-    pub text: String,
-    /// Whether the engine says that generation has ended.
-    pub is_finished: bool,
-    /// Whether it carries usage only, no choice.
-    pub is_usage: bool,
-    /// Whether it carries what cannot be resumed from text, as a tool call.
-    pub is_opaque: bool,
-}
-
-#[derive(Deserialize)]
-struct RawChunk<'a> {
-    #[serde(default, borrow)]
-    id: Option<Cow<'a, str>>,
-    #[serde(borrow)]
-    choices: Vec<RawChoice<'a>>,
-}
-
-#[derive(Deserialize)]
-struct RawChoice<'a> {
-    #[serde(default, borrow)]
-    delta: RawDelta<'a>,
-    #[serde(default, borrow)]
-    finish_reason: Option<Cow<'a, str>>,
-}
-
-#[derive(Default, Deserialize)]
-struct RawDelta<'a> {
-    #[serde(default, borrow)]
-    content: Option<Cow<'a, str>>,
-    #[serde(default)]
-    tool_calls: Option<IgnoredAny>,
-}
-
 impl Splitter {
     /// Adds bytes as they came.
     pub fn push(&mut self, bytes: &[u8]) {
@@ -124,15 +85,19 @@
 }
 
 /// Reads an event.
-pub fn meaning(event: &[u8]) -> Meaning {
-    let data = data(event);
-    match data.as_ref() {
+pub fn meaning(event: &[u8]) -> Meaning<'_> {
+    match data(event) {
+        Cow::Borrowed(data) => data_meaning(data),
+        // Data over several lines cannot be borrowed from; completions never send it.
+        Cow::Owned(_) => Meaning::Bad,
+    }
+}
+
+fn data_meaning(data: &[u8]) -> Meaning<'_> {
+    match data {
         b"" => Meaning::Nothing,
         DONE => Meaning::Done,
-        data => match serde_json::from_slice::<RawChunk<'_>>(data) {
-            Ok(chunk) => Meaning::Chunk(Chunk::from(chunk)),
-            Err(_) => Meaning::Bad,
-        },
+        data => serde_json::from_slice(data).map_or(Meaning::Bad, Meaning::Chunk),
     }
 }
 
@@ -154,18 +119,3 @@
     let value = line.strip_prefix(b"data:")?;
     Some(value.strip_prefix(b" ").unwrap_or(value))
 }
-
-impl From<RawChunk<'_>> for Chunk {
-    fn from(raw: RawChunk<'_>) -> Chunk {
-        let text = raw.choices.iter().filter_map(|it| it.delta.content.as_deref()).collect();
-        let is_finished = raw.choices.iter().any(|it| it.finish_reason.is_some());
-        Chunk {
-            id: raw.id.as_deref().map(Name::from),
-            text,
-            is_finished,
-            is_usage: raw.choices.is_empty(),
-            is_opaque: raw.choices.len() > 1
-                || raw.choices.iter().any(|it| it.delta.tool_calls.is_some()),
-        }
-    }
-}
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -18,6 +18,7 @@
 use crate::{
     attempt::{self, Answer, Failure},
     body::{AnswerBody, Chunk as BodyChunk},
+    chunk::Chunk,
     counters,
     dispatcher::Permit,
     exchange::{self, WholeAnswer},
@@ -25,7 +26,7 @@
     pool::Connection,
     refusal::Refusal,
     shared::Shared,
-    sse::{self, Chunk, Meaning, Split, Splitter},
+    sse::{self, Meaning, Split, Splitter},
     work::{Attempts, Ended, Next, Work},
 };
 
@@ -70,7 +71,7 @@
 
 /// What an endpoint's stream gives next.
 enum Step {
-    Chunk(Bytes, Chunk),
+    Chunk(Bytes),
     Done(Bytes),
     Broken(Failure),
 }
@@ -202,14 +203,10 @@
                     Err(refusal) => return Relayed::Failed(refusal),
                 },
             };
-            let failure = match source.step(self.patience()).await {
-                Step::Chunk(bytes, chunk) => {
-                    let passes = self.delivered.accept(&chunk, source.is_resumed);
+            let failure = match source.step(self.patience(), &mut self.delivered).await {
+                Step::Chunk(bytes) => {
                     self.source = Some(source);
-                    if passes {
-                        return Relayed::Event(bytes);
-                    }
-                    continue;
+                    return Relayed::Event(bytes);
                 }
                 Step::Done(bytes) => {
                     source.finish(&self.shared);
@@ -302,7 +299,7 @@
 
 impl Delivered {
     /// Takes note of a chunk; says whether it is passed on.
-    fn accept(&mut self, chunk: &Chunk, is_resumed: bool) -> bool {
+    fn accept(&mut self, chunk: &Chunk<'_>, is_resumed: bool) -> bool {
         let carries_text = !chunk.text.is_empty();
         let repeats_head = is_resumed && !carries_text && !chunk.is_finished && !chunk.is_usage;
         let repeats_end = self.finished && chunk.is_finished;
@@ -321,14 +318,12 @@
 }
 
 impl Source {
-    async fn step(&mut self, patience: Duration) -> Step {
+    async fn step(&mut self, patience: Duration, delivered: &mut Delivered) -> Step {
         loop {
             match self.splitter.split() {
-                Split::Event(bytes) => match sse::meaning(&bytes) {
-                    Meaning::Chunk(chunk) => return self.check(bytes, chunk),
-                    Meaning::Done => return Step::Done(bytes),
-                    Meaning::Nothing => continue,
-                    Meaning::Bad => return broken(Reason::BadAnswer),
+                Split::Event(bytes) => match self.read(bytes, delivered) {
+                    Some(step) => return step,
+                    None => continue,
                 },
                 Split::TooLarge => return broken(Reason::BadAnswer),
                 Split::Incomplete => {}
@@ -344,13 +339,26 @@
         }
     }
 
-    /// A chunk of another completion ends the attempt.
-    fn check(&mut self, bytes: Bytes, chunk: Chunk) -> Step {
-        let id = self.id.get_or_insert_with(|| chunk.id.clone().unwrap_or_default());
-        if chunk.id.as_ref().is_some_and(|it| it != id) {
-            return broken(Reason::WrongAnswer);
+    /// What an event gives; nothing if it is passed over.
+    fn read(&mut self, bytes: Bytes, delivered: &mut Delivered) -> Option<Step> {
+        match sse::meaning(&bytes) {
+            Meaning::Chunk(chunk) if !self.is_ours(&chunk) => Some(broken(Reason::WrongAnswer)),
+            Meaning::Chunk(chunk) => {
+                let passes = delivered.accept(&chunk, self.is_resumed);
+                passes.then_some(Step::Chunk(bytes))
+            }
+            Meaning::Done => Some(Step::Done(bytes)),
+            Meaning::Nothing => None,
+            Meaning::Bad => Some(broken(Reason::BadAnswer)),
         }
-        Step::Chunk(bytes, chunk)
+    }
+
+    /// Whether a chunk belongs to the completion that the attempt began with.
+    fn is_ours(&mut self, chunk: &Chunk<'_>) -> bool {
+        let Some(id) = &chunk.id else {
+            return true;
+        };
+        self.id.get_or_insert_with(|| Name::from(id.as_ref())).as_str() == id
     }
 
     /// Reads what follows the last event, so that the connection can be used again.
