Let the engine say where it resumes, and split its modules

Cause: the daemon takes a resumed stream only with `X-Resumed-From`, and its check of the chunks' ids needs an engine that sends a stray chunk. Two faults are new: an engine that ignores `resume`, and one chunk of another answer.

--- a/crates/standins/src/answer.rs
+++ b/crates/standins/src/answer.rs
@@ -8,6 +8,9 @@
 
 use crate::body::Piece;
 
+/// Id of chunks that belong to another answer.
+const STRAY_ID: &str = "chatcmpl-stray-1";
+
 /// The parts of a chat request's body that the engine reads.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct ChatRequest {
@@ -111,12 +114,16 @@
     pub(crate) hash: u64,
     pub(crate) usage: Usage,
     pub(crate) nonsense: bool,
+    /// The token whose chunk is another answer's.
+    pub(crate) stray_token: Option<u32>,
 }
 
 impl Format {
     /// Appends a server-sent event; true if the stream is whole with it.
     pub(crate) fn write_event(&self, piece: &Piece, out: &mut String) -> bool {
-        let (id, model) = (&self.id, &self.model);
+        let is_stray = matches!(piece, Piece::Token(it) if Some(*it) == self.stray_token);
+        let id = if is_stray { STRAY_ID } else { &self.id };
+        let model = &self.model;
         let start = format_args!(
             r#"data: {{"id":"{id}","object":"chat.completion.chunk","model":"{model}","choices":[{{"index":0"#
         )
@@ -125,7 +132,8 @@
             _ if self.nonsense => write!(out, "data: {{\"choices\": nonsense\n\n"),
             Piece::Token(token) => {
                 let role = if *token == 0 { r#""role":"assistant","# } else { "" };
-                let text = token_text(self.hash, *token);
+                let hash = if is_stray { !self.hash } else { self.hash };
+                let text = token_text(hash, *token);
                 write!(
                     out,
                     "{start},\"delta\":{{{role}\"content\":\"{text}\"}},\"finish_reason\":null}}]}}\n\n"
--- a/crates/standins/src/batch.rs
+++ b/crates/standins/src/batch.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     body::Piece,
-    engine::{EngineFaults, EngineSettings, RunEnd, RunRecord, Shared},
+    engine::{EngineFaults, EngineSettings, Shared},
     prefix::PrefixCache,
+    run::{RunEnd, RunRecord},
 };
 
 /// Most prompt tokens computed in one step, over all runs.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod batch;
 mod body;
+mod chat;
 mod framing;
 mod gate;
 mod prefix;
@@ -14,11 +15,14 @@
 
 pub mod answer;
 pub mod engine;
+pub mod load;
 pub mod platform;
 pub mod proxy;
+pub mod run;
 pub mod service;
 
-pub use engine::{Engine, EngineFaults, EngineSettings, Leaving, RunEnd, RunRecord};
+pub use engine::{Engine, EngineFaults, EngineSettings, Leaving};
 pub use platform::{Entry, Platform, PlatformFaults, PlatformSettings};
 pub use proxy::{Flow, Proxy, ProxyFaults};
+pub use run::{RunEnd, RunRecord};
 pub use service::{Service, ServiceFaults, ServiceRun};
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -17,6 +17,7 @@
 use crate::{
     body::AnswerBody,
     engine::Leaving,
+    load::Load,
     platform::unix_ms,
     server::{Dropped, Reply, Server, header, json, not_run, pause_ms},
 };
@@ -153,8 +154,8 @@
     Ok(marked(json(StatusCode::OK, &receipt(&run, number)), &request, &faults))
 }
 
-fn load(faults: &ServiceFaults) -> crate::engine::Load {
-    crate::engine::Load {
+fn load(faults: &ServiceFaults) -> Load {
+    Load {
         running: 0,
         waiting: 0,
         slots: 1,
--- a/crates/standins/tests/it/engine.rs
+++ b/crates/standins/tests/it/engine.rs
@@ -44,7 +44,9 @@
     let first = chat(&engine, &whole).await;
     assert!(first.is_whole() && first.body().contains("data: [DONE]"));
     assert_eq!(first.streamed_text(), answer_text(hash, 0..20));
-    assert_eq!(chat(&engine, &rest).await.streamed_text(), answer_text(hash, 8..20));
+    let second = chat(&engine, &rest).await;
+    assert_eq!(second.streamed_text(), answer_text(hash, 8..20));
+    assert!(second.has_header("x-resumed-from: 8"));
 }
 
 #[tokio::test]
@@ -57,19 +59,27 @@
     assert_eq!((record.end, record.generated_tokens), (RunEnd::Died, 3));
 }
 
-#[tokio::test]
-async fn a_closed_connection_cancels_the_run() {
-    let engine = engine().await;
-    let body = body("act", r#","stream":true,"max_tokens":1000000"#);
-    let stream = open(engine.address(), HEAD, &body).await.unwrap();
-    while engine.records().first().is_none_or(|it| it.generated_tokens == 0) {
-        tokio::task::yield_now().await;
-    }
-    drop(stream);
-    while engine.records()[0].end == RunEnd::Running {
-        tokio::task::yield_now().await;
-    }
-    assert_eq!(engine.records()[0].end, RunEnd::Cancelled);
+macro_rules! cancelled_when_closed {
+    ($($name:ident: $more:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let engine = engine().await;
+            let stream = open(engine.address(), HEAD, &body("act", $more)).await.unwrap();
+            while engine.records().first().is_none_or(|it| it.generated_tokens == 0) {
+                tokio::task::yield_now().await;
+            }
+            drop(stream);
+            while engine.records()[0].end == RunEnd::Running {
+                tokio::task::yield_now().await;
+            }
+            assert_eq!(engine.records()[0].end, RunEnd::Cancelled);
+        }
+    )*};
+}
+
+cancelled_when_closed! {
+    a_stream_is_cancelled_by_its_callers_leaving: r#","stream":true,"max_tokens":1000000"#;
+    a_whole_answer_is_cancelled_by_its_callers_leaving: r#","max_tokens":1000000"#;
 }
 
 #[tokio::test]
@@ -119,6 +129,25 @@
     assert!(records[1].cached_tokens >= 160, "{records:?}");
 }
 
+#[tokio::test]
+async fn an_engine_that_ignores_resume_starts_anew() {
+    let engine = engine().await;
+    engine.switch(|it| it.ignores_resume = true);
+    let more = r#","stream":true,"max_tokens":9,"resume":{"delivered_tokens":8}"#;
+    let answer = chat(&engine, &body("act", more)).await;
+    assert!(!answer.has_header("x-resumed-from: 8"));
+    assert!(answer.streamed_text().starts_with("answer-"));
+}
+
+#[tokio::test]
+async fn a_stray_chunk_has_another_id() {
+    let engine = engine().await;
+    engine.switch(|it| it.stray_chunk_at_token = Some(2));
+    let answer = chat(&engine, &body("act", r#","stream":true,"max_tokens":4"#)).await;
+    assert_eq!(answer.body().matches("chatcmpl-stray-1").count(), 1, "{answer:?}");
+    assert_eq!(answer.body().matches("chatcmpl-r1-2").count(), 4);
+}
+
 macro_rules! faulty {
     ($($name:ident: $change:expr => $check:expr;)*) => {$(
         #[tokio::test]
