--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,9 +4,26 @@
 //! random number: time comes in as milliseconds and randomness as a number, so
 //! that the code which runs is the code which is model-checked and benchmarked.
 
+pub mod check;
+pub mod choose;
+pub mod edit;
+pub mod document;
+pub mod finding;
+pub mod fleet;
+pub mod fold;
+pub mod load;
+pub mod log;
 pub mod name;
+pub mod node;
 pub mod outcome;
+pub mod pace;
+pub mod queue;
+pub mod reading;
+pub mod record;
+pub mod share;
 pub mod sheet;
+mod tree;
 
+pub use finding::{Finding, Findings, Severity};
 pub use name::Name;
 pub use outcome::{Outcome, Reason};
