Judge outcomes from outside, and mend two ways to mislead a caller

Cause: with real processes behind the proxy the new tests showed two faults. A stream that could not be finished lost its error event: the HTTP server drops what it has not written when a body fails, so the body now yields once before it breaks off. Likewise a body whose feeder went away ended cleanly; now only an explicit end does. And a whole answer that ends where the connection does was passed on as answered, wherever it was cut; it now ends as unknown (bad_answer).

Ruled out: a pause before breaking off (a guess at the network's pace); taking close-delimited answers of plain services, since a cut one looks the same.

--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -3,7 +3,7 @@
 use std::{
     fmt,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
@@ -19,7 +19,25 @@
     /// All of it at once; `None` once it was sent.
     Whole(Option<Bytes>),
     /// Chunks as they come.
-    Stream(mpsc::Receiver<Chunk>),
+    Stream(StreamBody),
+}
+
+/// A body that arrives in chunks.
+#[derive(Debug)]
+pub struct StreamBody {
+    chunks: mpsc::Receiver<Chunk>,
+    end: StreamEnd,
+}
+
+/// How far a streamed body is from its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamEnd {
+    /// More may come.
+    Open,
+    /// It is to break off once what was sent has left.
+    Breaking,
+    /// It was finished.
+    Finished,
 }
 
 /// One step of a streamed body.
@@ -27,8 +45,8 @@
 pub enum Chunk {
     /// More bytes.
     Data(Bytes),
-    /// The stream cannot be finished: the transfer breaks off visibly.
-    Abort,
+    /// The body is finished. A channel that closes without it breaks the transfer off visibly.
+    End,
 }
 
 /// A streamed body was broken off.
@@ -49,10 +67,35 @@
         AnswerBody::Whole(Some(bytes.into()))
     }
 
-    /// A streamed body and the end that feeds it. Dropping that end finishes the body cleanly.
+    /// A streamed body and the end that feeds it. Dropping that end breaks the body off
+    /// unless [`Chunk::End`] was sent.
     pub fn stream() -> (mpsc::Sender<Chunk>, AnswerBody) {
-        let (sender, receiver) = mpsc::channel(STREAM_BUFFER_CHUNKS);
-        (sender, AnswerBody::Stream(receiver))
+        let (sender, chunks) = mpsc::channel(STREAM_BUFFER_CHUNKS);
+        (sender, AnswerBody::Stream(StreamBody { chunks, end: StreamEnd::Open }))
+    }
+}
+
+impl StreamBody {
+    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
+        match self.end {
+            StreamEnd::Finished => return Poll::Ready(None),
+            StreamEnd::Breaking => return Poll::Ready(Some(Err(Aborted))),
+            StreamEnd::Open => {}
+        }
+        match ready!(self.chunks.poll_recv(cx)) {
+            Some(Chunk::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Some(Chunk::End) => {
+                self.end = StreamEnd::Finished;
+                Poll::Ready(None)
+            }
+            None => {
+                // The server drops what it has not written yet when a body fails, so that
+                // it gets a turn to write the last event first.
+                self.end = StreamEnd::Breaking;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+        }
     }
 }
 
@@ -66,7 +109,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         match self.get_mut() {
             AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
-            AnswerBody::Stream(receiver) => receiver.poll_recv(cx).map(|it| it.map(frame)),
+            AnswerBody::Stream(stream) => stream.poll_chunk(cx),
         }
     }
 
@@ -83,10 +126,3 @@
         }
     }
 }
-
-fn frame(chunk: Chunk) -> Result<Frame<Bytes>, Aborted> {
-    match chunk {
-        Chunk::Data(bytes) => Ok(Frame::data(bytes)),
-        Chunk::Abort => Err(Aborted),
-    }
-}
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -6,8 +6,8 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Response, StatusCode,
-    body::Incoming,
-    header::{HeaderName, HeaderValue},
+    body::{Body, Incoming},
+    header::{HeaderName, HeaderValue, TRANSFER_ENCODING},
 };
 use serde::de::IgnoredAny;
 use tanagergauge_core::{Name, Outcome, Reason, sheet::Kind};
@@ -105,6 +105,9 @@
 ) -> Result<WholeAnswer, Failure> {
     let (response, connection, address) = answer.into_parts();
     let (head, body) = response.into_parts();
+    if !tells_its_end(&head.headers, &body) {
+        return Err(Failure::after_send(Reason::BadAnswer));
+    }
     let body = collect(body, shared.settings.limits.answer_bytes).await?;
     Answer::finish(connection, address, &shared.pool);
     if work.target.kind == Kind::Model {
@@ -113,6 +116,11 @@
     Ok(WholeAnswer { status: head.status, headers: headers::for_caller(&head.headers), body })
 }
 
+/// A body that ends where the connection does looks whole wherever it is cut.
+fn tells_its_end(map: &HeaderMap, body: &Incoming) -> bool {
+    body.size_hint().exact().is_some() || map.contains_key(TRANSFER_ENCODING)
+}
+
 async fn collect(body: Incoming, limit_bytes: usize) -> Result<Bytes, Failure> {
     match Limited::new(body, limit_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -160,6 +160,10 @@
                 None => Some(Ended::Refused(caller_left.clone())),
             };
         }
+        if let Some(Ended::Answered) = ended {
+            // A caller that has left needs no end.
+            let _ = sender.send(BodyChunk::End).await;
+        }
         if let Some(ended) = ended {
             self.work.ended(&self.shared, ended);
         }
@@ -188,7 +192,6 @@
         event.extend(b"\n\n");
         // A caller that has left needs no error.
         let _ = sender.send(BodyChunk::Data(event.into())).await;
-        let _ = sender.send(BodyChunk::Abort).await;
         Some(Ended::Refused(refusal))
     }
 
--- a/crates/testenv/src/fleet.rs
+++ b/crates/testenv/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     path::{Path, PathBuf},
 };
 
@@ -26,6 +27,9 @@
 /// Slots of a service.
 const SERVICE_SLOTS: u32 = 64;
 
+/// Slots of an endpoint that only its address is known of.
+const MORE_SLOTS: u32 = 8;
+
 /// Size and settings of a fleet.
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
@@ -35,6 +39,10 @@
     pub engines: Vec<EngineSettings>,
     /// Number of plain services.
     pub services: usize,
+    /// Addresses of further engines.
+    pub more_engines: Vec<SocketAddr>,
+    /// Addresses of further services.
+    pub more_services: Vec<SocketAddr>,
     /// Availability zones, over which instances and endpoints are spread.
     pub availability_zones: Vec<String>,
     /// Limits of the platform.
@@ -53,6 +61,8 @@
             instances: 1,
             engines: vec![EngineSettings::default()],
             services: 1,
+            more_engines: Vec::new(),
+            more_services: Vec::new(),
             availability_zones: vec!["zone-1".to_owned()],
             platform: PlatformSettings::default(),
             notice_ms: NOTICE_MS,
@@ -141,6 +151,9 @@
             fleet.services.push(service);
             fleet.service_proxies.push(proxy);
         }
+        let with_slots = |it: &SocketAddr| (*it, MORE_SLOTS);
+        fleet.plan.engines.extend(options.more_engines.iter().map(with_slots));
+        fleet.plan.services.extend(options.more_services.iter().map(with_slots));
         Ok(fleet)
     }
 
--- a/crates/testenv/src/instance.rs
+++ b/crates/testenv/src/instance.rs
@@ -16,9 +16,12 @@
     unistd::Pid,
 };
 use serde::Deserialize;
-use tokio::{sync::watch, time::timeout};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout},
+};
 
-use crate::{PATIENCE, call::Call, eventually};
+use crate::{LOOK_INTERVAL, PATIENCE, call::Call, eventually};
 
 /// Settings of an instance under test.
 #[derive(Clone, Debug)]
@@ -136,8 +139,12 @@
     /// # Panics
     /// When that takes longer than [`PATIENCE`].
     pub async fn wait_ready(&self) {
-        let what = format!("{} is ready", self.settings.name);
-        eventually(&what, async || self.is_ready().await).await;
+        let until = Instant::now() + PATIENCE;
+        while !self.is_ready().await {
+            let name = &self.settings.name;
+            assert!(Instant::now() < until, "{name} is not ready: {}", self.log().join("\n"));
+            sleep(LOOK_INTERVAL).await;
+        }
     }
 
     /// Whether it says that it is ready.
--- a/crates/testenv/src/lib.rs
+++ b/crates/testenv/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod call;
+mod endpoint;
 mod fleet;
 mod instance;
 mod raw;
@@ -13,6 +14,7 @@
 
 pub use answer::Answer;
 pub use call::{Call, Reading};
+pub use endpoint::RawEndpoint;
 pub use fleet::{Fleet, FleetOptions};
 pub use instance::{Instance, InstanceSettings};
 pub use raw::{RawAnswer, RawConnection};
