Add the pure core of membership and gossip

Facts (instances, endpoints leaving, quarantines) outlive whoever found them: maxima and sets, compared by 32 bucket hashes. Readings (loads, account use) are written by one instance only and copied by stamp, as in Scuttlebutt; a zone publishes 120 a round however large it is, the most out of date first. Whom to pull from: one random live peer of the zone, two links to each other zone, suspects and seeds now and then.

Ruled out: per-peer acknowledged deltas (every change is sent by everybody who learnt it), last write by wall clock, per-instance heartbeats across zones.

My first property, equal stamps mean equal readings, was wrong for partial copies, which lack what changed later; a copy that reaches the end is whole replaces it before its first commit.

--- /dev/null
+++ b/crates/core/src/facts.rs
@@ -0,0 +1,210 @@
+//! All facts an instance knows, as a mergeable set.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    Member, MemberState, Name,
+    fact::{Epoch, Fact, Quarantine},
+};
+
+/// Buckets whose hashes two instances compare to find where they differ.
+pub const BUCKETS: usize = 32;
+/// Most instances kept.
+pub const MAX_MEMBERS: usize = 4096;
+/// Most endpoints kept that have ever left.
+pub const MAX_ENDPOINTS: usize = 8192;
+/// Most quarantined contents kept.
+pub const MAX_QUARANTINES: usize = 1024;
+
+/// Hashes of the facts by bucket, as sent to a peer.
+pub type BucketHashes = [u32; BUCKETS];
+
+/// All facts an instance knows.
+///
+/// Merging is commutative, associative and idempotent, and a fact never goes
+/// back, as long as no limit is hit; beyond a limit new keys are left out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Facts {
+    members: BTreeMap<Name, Member>,
+    endpoints: BTreeMap<Name, Epoch>,
+    quarantines: BTreeMap<[u8; 16], Quarantine>,
+    /// XOR of the hashes of the facts in each bucket; follows from the maps.
+    hashes: BucketHashes,
+}
+
+impl Facts {
+    /// Instances by name.
+    pub fn members(&self) -> &BTreeMap<Name, Member> {
+        &self.members
+    }
+
+    /// Endpoints that have ever left, by name.
+    pub fn endpoints(&self) -> &BTreeMap<Name, Epoch> {
+        &self.endpoints
+    }
+
+    /// Quarantined contents by key.
+    pub fn quarantines(&self) -> &BTreeMap<[u8; 16], Quarantine> {
+        &self.quarantines
+    }
+
+    /// The epoch of an endpoint.
+    pub fn epoch(&self, endpoint: &str) -> Epoch {
+        self.endpoints.get(endpoint).copied().unwrap_or_default()
+    }
+
+    /// Hashes to compare with a peer's.
+    pub fn hashes(&self) -> &BucketHashes {
+        &self.hashes
+    }
+
+    /// Takes in a fact. Returns whether it was news.
+    pub fn merge(&mut self, fact: &Fact, now_unix_ms: u64) -> bool {
+        match fact {
+            Fact::Member { name, member } => self.merge_member(name, member, now_unix_ms),
+            Fact::Endpoint { name, epoch } => self.merge_endpoint(name, *epoch),
+            Fact::Quarantine { key, quarantine } => {
+                self.merge_quarantine(*key, quarantine, now_unix_ms)
+            }
+        }
+    }
+
+    /// Facts of the buckets in which a peer's hashes differ.
+    pub fn differing(&self, theirs: &BucketHashes) -> Vec<Fact> {
+        let differs = |fact: &Fact| {
+            let bucket = bucket_of(fact);
+            self.hashes[bucket] != theirs[bucket]
+        };
+        self.iter().filter(differs).collect()
+    }
+
+    /// Forgets what has expired.
+    pub fn expire(&mut self, now_unix_ms: u64) {
+        let expired: Vec<Fact> = self.iter().filter(|it| is_expired(it, now_unix_ms)).collect();
+        for fact in expired {
+            self.toggle_hash(&fact);
+            match fact {
+                Fact::Member { name, .. } => drop(self.members.remove(&name)),
+                Fact::Quarantine { key, .. } => drop(self.quarantines.remove(&key)),
+                Fact::Endpoint { .. } => (),
+            }
+        }
+    }
+
+    /// Forgets endpoints that are in no sheet any more.
+    pub fn retain_endpoints(&mut self, is_known: impl Fn(&str) -> bool) {
+        let unknown: Vec<Name> =
+            self.endpoints.keys().filter(|it| !is_known(it)).cloned().collect();
+        for name in unknown {
+            if let Some(epoch) = self.endpoints.remove(&name) {
+                self.toggle_hash(&Fact::Endpoint { name, epoch });
+            }
+        }
+    }
+
+    /// All facts.
+    pub fn iter(&self) -> impl Iterator<Item = Fact> + '_ {
+        let members = self
+            .members
+            .iter()
+            .map(|(name, member)| Fact::Member { name: name.clone(), member: member.clone() });
+        let endpoints = self
+            .endpoints
+            .iter()
+            .map(|(name, epoch)| Fact::Endpoint { name: name.clone(), epoch: *epoch });
+        let quarantines = self.quarantines.iter().map(|(key, quarantine)| Fact::Quarantine {
+            key: *key,
+            quarantine: quarantine.clone(),
+        });
+        members.chain(endpoints).chain(quarantines)
+    }
+
+    /// Instances of a zone that are not gone.
+    pub fn zone_members<'a>(
+        &'a self,
+        zone: &'a str,
+    ) -> impl Iterator<Item = (&'a Name, &'a Member)> {
+        self.members.iter().filter(move |(_, it)| {
+            it.state != MemberState::Gone && it.availability_zone.as_str() == zone
+        })
+    }
+
+    fn merge_member(&mut self, name: &Name, member: &Member, now_unix_ms: u64) -> bool {
+        if member.is_expired(now_unix_ms) {
+            return false;
+        }
+        let old = self.members.get(name);
+        if old.is_some_and(|it| it >= member) || old.is_none() && self.members.len() >= MAX_MEMBERS
+        {
+            return false;
+        }
+        let old = self.members.insert(name.clone(), member.clone());
+        if let Some(member) = old {
+            self.toggle_hash(&Fact::Member { name: name.clone(), member });
+        }
+        self.toggle_hash(&Fact::Member { name: name.clone(), member: member.clone() });
+        true
+    }
+
+    fn merge_endpoint(&mut self, name: &Name, epoch: Epoch) -> bool {
+        let old = self.endpoints.get(name).copied();
+        if epoch <= old.unwrap_or_default()
+            || old.is_none() && self.endpoints.len() >= MAX_ENDPOINTS
+        {
+            return false;
+        }
+        self.endpoints.insert(name.clone(), epoch);
+        if let Some(epoch) = old {
+            self.toggle_hash(&Fact::Endpoint { name: name.clone(), epoch });
+        }
+        self.toggle_hash(&Fact::Endpoint { name: name.clone(), epoch });
+        true
+    }
+
+    fn merge_quarantine(&mut self, key: [u8; 16], other: &Quarantine, now_unix_ms: u64) -> bool {
+        let old = self.quarantines.get(&key).cloned();
+        if other.forget_unix_ms <= now_unix_ms
+            || old.is_none() && self.quarantines.len() >= MAX_QUARANTINES
+        {
+            return false;
+        }
+        let mut merged = old.clone().unwrap_or_default();
+        if !merged.merge(other) {
+            return false;
+        }
+        if let Some(quarantine) = old {
+            self.toggle_hash(&Fact::Quarantine { key, quarantine });
+        }
+        self.toggle_hash(&Fact::Quarantine { key, quarantine: merged.clone() });
+        self.quarantines.insert(key, merged);
+        true
+    }
+
+    fn toggle_hash(&mut self, fact: &Fact) {
+        self.hashes[bucket_of(fact)] ^= hash_of(fact);
+    }
+}
+
+fn is_expired(fact: &Fact, now_unix_ms: u64) -> bool {
+    match fact {
+        Fact::Member { member, .. } => member.is_expired(now_unix_ms),
+        Fact::Endpoint { .. } => false,
+        Fact::Quarantine { quarantine, .. } => quarantine.forget_unix_ms <= now_unix_ms,
+    }
+}
+
+fn bucket_of(fact: &Fact) -> usize {
+    let hash = match fact {
+        Fact::Member { name, .. } | Fact::Endpoint { name, .. } => blake3::hash(name.as_bytes()),
+        Fact::Quarantine { key, .. } => blake3::hash(key),
+    };
+    usize::from(hash.as_bytes()[0]) % BUCKETS
+}
+
+fn hash_of(fact: &Fact) -> u32 {
+    let bytes = postcard::to_allocvec(fact).unwrap_or_default();
+    let hash = blake3::hash(&bytes);
+    let mut first = [0; 4];
+    first.copy_from_slice(&hash.as_bytes()[..4]);
+    u32::from_le_bytes(first)
+}
--- /dev/null
+++ b/crates/core/src/gossip.rs
@@ -0,0 +1,553 @@
+//! What instances tell each other, and whom they ask.
+//!
+//! Each round an instance pulls what it lacks from one random peer of its zone;
+//! two instances a zone also pull from each other zone. Facts are compared by
+//! the hashes of their buckets, readings by the stamps of their ledgers.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Member, MemberState, Name,
+    fact::{Epoch, Fact},
+    facts::{BucketHashes, Facts},
+    ledger::{Ledger, LedgerDelta, Stamp},
+    publisher::Publisher,
+    reading::{Reading, Subject, Tag, amount_of, level_of},
+    rendezvous,
+};
+
+/// Time between two rounds, in milliseconds.
+pub const ROUND_MS: u64 = 1000;
+/// Readings that all instances of a zone together publish in a round.
+pub const ZONE_READINGS: usize = 120;
+/// Readings about its whole zone that a zone's reporter publishes in a round.
+pub const REPORT_READINGS: usize = 8;
+/// Readings in one answer, at most, but for the last round of a ledger.
+pub const ANSWER_READINGS: usize = 400;
+/// Facts in one message, at most.
+pub const MESSAGE_FACTS: usize = 64;
+/// Instances of a zone that pull from each other zone.
+pub const LINKS: usize = 2;
+/// Rounds between two pulls of a link.
+const LINK_ROUNDS: u64 = 2;
+/// Rounds between two pulls from an address of the settings.
+const SEED_ROUNDS: u64 = 30;
+/// Rounds between two pulls from a suspected peer.
+const SUSPECT_ROUNDS: u64 = 8;
+/// Silence after which the zone's reporter calls an instance gone, in milliseconds.
+pub const GONE_AFTER_MS: u64 = 120_000;
+/// How long the record of a gone instance is kept, in milliseconds.
+pub const GONE_KEPT_MS: u64 = 3_600_000;
+/// Rounds of silence after which a peer is suspected in the smallest zone.
+const SUSPECT_AFTER_ROUNDS: u64 = 6;
+
+/// What an instance knows of the fleet.
+#[derive(Clone, Debug)]
+pub struct Gossip {
+    /// Name of this instance.
+    own: Name,
+    /// Its record; always in `facts` as well.
+    member: Member,
+    /// All facts.
+    facts: Facts,
+    /// This instance's readings.
+    ledger: Ledger,
+    /// Readings that are still to be published.
+    publisher: Publisher,
+    /// Peers' readings; only of instances in `facts` that are not gone.
+    copies: BTreeMap<Tag, Copied>,
+    /// The model each endpoint of this zone serves.
+    models: BTreeMap<Tag, Tag>,
+    /// Rounds begun.
+    rounds: u64,
+}
+
+/// A peer's readings as this instance has them.
+#[derive(Clone, Debug)]
+pub struct Copied {
+    /// Name of the peer.
+    pub name: Name,
+    /// Its availability zone.
+    pub availability_zone: Name,
+    /// The readings.
+    pub ledger: Ledger,
+    /// When the copy last moved, on this instance's clock.
+    pub heard_ms: u64,
+}
+
+/// Asks a peer for what the sender lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pull {
+    /// Name of the sender.
+    pub name: Name,
+    /// Its record.
+    pub member: Member,
+    /// Hashes of its facts.
+    pub hashes: BucketHashes,
+    /// How far its copies reach.
+    pub reaches: Vec<Reach>,
+}
+
+/// How far a copy of an instance's readings reaches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reach {
+    /// The instance.
+    pub instance: Tag,
+    /// How far.
+    pub stamp: Stamp,
+}
+
+/// What the sender of a [`Pull`] lacks.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Facts of buckets that differ, at most [`MESSAGE_FACTS`].
+    pub facts: Vec<Fact>,
+    /// Readings.
+    pub updates: Vec<Update>,
+    /// Whether there was more than the limits allow.
+    pub is_partial: bool,
+}
+
+/// What is new in one instance's readings.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// The instance.
+    pub instance: Tag,
+    /// The changes.
+    pub delta: LedgerDelta,
+}
+
+/// Facts that cannot wait for the next pull, at most [`MESSAGE_FACTS`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Push {
+    /// The facts.
+    pub facts: Vec<Fact>,
+    /// Whether it has crossed to another zone already.
+    pub has_crossed: bool,
+}
+
+/// The time on both clocks.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    /// Monotonic, in milliseconds.
+    pub ms: u64,
+    /// Unix time, in milliseconds.
+    pub unix_ms: u64,
+}
+
+impl Gossip {
+    /// An instance that knows only itself.
+    pub fn new(own: Name, member: Member, now: Now) -> Gossip {
+        let mut facts = Facts::default();
+        facts.merge(&Fact::Member { name: own.clone(), member: member.clone() }, now.unix_ms);
+        let start_unix_s = u32::try_from(member.incarnation / 1000).unwrap_or(u32::MAX);
+        Gossip {
+            own,
+            member,
+            facts,
+            ledger: Ledger::new(start_unix_s),
+            publisher: Publisher::default(),
+            copies: BTreeMap::new(),
+            models: BTreeMap::new(),
+            rounds: 0,
+        }
+    }
+
+    /// Name of this instance.
+    pub fn own(&self) -> &Name {
+        &self.own
+    }
+
+    /// This instance's record.
+    pub fn member(&self) -> &Member {
+        &self.member
+    }
+
+    /// All facts.
+    pub fn facts(&self) -> &Facts {
+        &self.facts
+    }
+
+    /// Peers' readings.
+    pub fn copies(&self) -> impl Iterator<Item = &Copied> {
+        self.copies.values()
+    }
+
+    /// Notes a measurement of this instance, to be published when its turn comes.
+    pub fn stage(&mut self, reading: Reading) {
+        self.publisher.stage(reading, &self.ledger);
+    }
+
+    /// Sets which model each endpoint of this zone serves.
+    pub fn set_models(&mut self, models: BTreeMap<Tag, Tag>) {
+        self.models = models;
+    }
+
+    /// Forgets endpoints that are in no sheet any more.
+    pub fn retain_endpoints(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.facts.retain_endpoints(is_known);
+    }
+
+    /// Takes in a fact that was not learnt from a peer. Returns whether it was news.
+    pub fn learn(&mut self, fact: &Fact, now: Now) -> bool {
+        self.facts.merge(fact, now.unix_ms)
+    }
+
+    /// An endpoint was seen to leave. Returns the fact if it is news.
+    pub fn endpoint_left(&mut self, endpoint: &Name, now: Now) -> Option<Fact> {
+        self.set_epoch(endpoint, self.facts.epoch(endpoint).left(), now)
+    }
+
+    /// An endpoint was seen to be back for a while. Returns the fact if it is news.
+    pub fn endpoint_returned(&mut self, endpoint: &Name, now: Now) -> Option<Fact> {
+        self.set_epoch(endpoint, self.facts.epoch(endpoint).returned(), now)
+    }
+
+    /// Moves this instance's own state forward. Returns the fact if it is news.
+    pub fn set_state(&mut self, state: MemberState, now: Now) -> Option<Fact> {
+        if state <= self.member.state {
+            return None;
+        }
+        self.member.state = state;
+        if state == MemberState::Gone {
+            self.member.forget_unix_ms = now.unix_ms + GONE_KEPT_MS;
+        }
+        self.assert_own(now)
+    }
+
+    /// Begins a round: publishes readings, judges silence, forgets.
+    pub fn begin_round(&mut self, now: Now) {
+        self.rounds += 1;
+        self.facts.expire(now.unix_ms);
+        self.drop_gone_copies();
+        let own_place = self.place("report", now);
+        if own_place == 0 {
+            self.stage_report();
+            self.declare_gone(now);
+        } else if self.ledger.get(Subject::LiveInstances).is_some() {
+            self.stage(Reading { subject: Subject::LiveInstances, value: 0 });
+        }
+        let live = 1 + self.live_peers(now).count();
+        let limit =
+            (ZONE_READINGS / live).max(1) + if own_place == 0 { REPORT_READINGS } else { 0 };
+        let changes = self.publisher.take(limit, &self.ledger);
+        self.ledger.publish(&changes);
+    }
+
+    /// Whom to pull from in this round, by random numbers from `draw`.
+    pub fn targets(
+        &self,
+        seeds: &[SocketAddr],
+        now: Now,
+        mut draw: impl FnMut() -> u64,
+    ) -> Vec<SocketAddr> {
+        let mut targets = Vec::new();
+        let live: Vec<&Member> = self.live_peers(now).map(|(_, it)| it).collect();
+        targets.extend(pick(&live, draw()).map(|it| it.control_address));
+        if self.rounds.is_multiple_of(SUSPECT_ROUNDS) {
+            let suspects: Vec<&Member> = self.suspects(now).map(|(_, it)| it).collect();
+            targets.extend(pick(&suspects, draw()).map(|it| it.control_address));
+        }
+        for zone in self.other_zones() {
+            targets.extend(self.link_target(&zone, now, &mut draw));
+        }
+        let is_alone = targets.is_empty() && live.is_empty();
+        if is_alone || self.rounds.is_multiple_of(SEED_ROUNDS) {
+            let seeds: Vec<&SocketAddr> =
+                seeds.iter().filter(|it| **it != self.member.control_address).collect();
+            targets.extend(pick(&seeds, draw()).copied());
+        }
+        targets
+    }
+
+    /// Whom to push urgent facts to: few peers of the zone and, from the first to
+    /// learn of them, one instance of each other zone.
+    pub fn push_targets(
+        &self,
+        fanout: usize,
+        crosses: bool,
+        now: Now,
+        mut draw: impl FnMut() -> u64,
+    ) -> Vec<SocketAddr> {
+        let mut live: Vec<&Member> = self.live_peers(now).map(|(_, it)| it).collect();
+        let mut targets = Vec::new();
+        for _ in 0..fanout {
+            if live.is_empty() {
+                break;
+            }
+            let chosen = (draw() % live.len() as u64) as usize;
+            targets.push(live.swap_remove(chosen).control_address);
+        }
+        if crosses {
+            for zone in self.other_zones() {
+                let members: Vec<&Member> =
+                    self.facts.zone_members(&zone).map(|(_, it)| it).collect();
+                targets.extend(pick(&members, draw()).map(|it| it.control_address));
+            }
+        }
+        targets
+    }
+
+    /// What to ask a peer.
+    pub fn pull(&self) -> Pull {
+        let own = Reach { instance: Tag::of(&self.own), stamp: self.ledger.stamp() };
+        let copies = self
+            .copies
+            .iter()
+            .map(|(instance, it)| Reach { instance: *instance, stamp: it.ledger.stamp() });
+        Pull {
+            name: self.own.clone(),
+            member: self.member.clone(),
+            hashes: *self.facts.hashes(),
+            reaches: copies.chain([own]).collect(),
+        }
+    }
+
+    /// What the sender of a pull lacks. Takes in what it says of itself.
+    pub fn answer(&mut self, pull: &Pull, now: Now, draw: u64) -> Answer {
+        self.receive(&Fact::Member { name: pull.name.clone(), member: pull.member.clone() }, now);
+        let mut facts = self.facts.differing(&pull.hashes);
+        let mut is_partial = facts.len() > MESSAGE_FACTS;
+        if is_partial {
+            let start = (draw % facts.len() as u64) as usize;
+            facts.rotate_left(start);
+            facts.truncate(MESSAGE_FACTS);
+        }
+        let updates = self.updates(pull, draw, &mut is_partial);
+        Answer { facts, updates, is_partial }
+    }
+
+    /// Takes in an answer. Returns the facts that were news.
+    pub fn merge(&mut self, answer: &Answer, now: Now) -> Vec<Fact> {
+        let news = self.receive_all(&answer.facts, now);
+        let tag = Tag::of(&self.own);
+        for update in &answer.updates {
+            if update.instance == tag {
+                self.ledger.overtake(update.delta.stamp);
+            } else {
+                self.merge_update(update, now);
+            }
+        }
+        news
+    }
+
+    /// Takes in facts from a peer. Returns those that were news.
+    pub fn receive_all(&mut self, facts: &[Fact], now: Now) -> Vec<Fact> {
+        facts.iter().filter(|it| self.receive(it, now)).cloned().collect()
+    }
+
+    /// Peers of this zone that are live and heard of lately.
+    pub fn live_peers(&self, now: Now) -> impl Iterator<Item = (&Name, &Member)> {
+        self.zone_peers().filter(move |(name, _)| !self.is_suspect(name, now))
+    }
+
+    /// Peers of this zone that have been silent.
+    pub fn suspects(&self, now: Now) -> impl Iterator<Item = (&Name, &Member)> {
+        self.zone_peers().filter(move |(name, _)| self.is_suspect(name, now))
+    }
+
+    /// Place of this instance among the live ones of its zone for a task.
+    pub fn place(&self, task: &str, now: Now) -> usize {
+        rendezvous::place(task, &self.own, self.live_peers(now).map(|(name, _)| name.as_str()))
+    }
+
+    fn set_epoch(&mut self, endpoint: &Name, epoch: Epoch, now: Now) -> Option<Fact> {
+        let fact = Fact::Endpoint { name: endpoint.clone(), epoch };
+        self.facts.merge(&fact, now.unix_ms).then_some(fact)
+    }
+
+    fn assert_own(&mut self, now: Now) -> Option<Fact> {
+        let fact = Fact::Member { name: self.own.clone(), member: self.member.clone() };
+        self.facts.merge(&fact, now.unix_ms).then_some(fact)
+    }
+
+    fn receive(&mut self, fact: &Fact, now: Now) -> bool {
+        if let Fact::Member { name, member } = fact
+            && *name == self.own
+        {
+            if *member <= self.member {
+                return false;
+            }
+            self.member = self.member.refute(member);
+            return self.assert_own(now).is_some();
+        }
+        let is_news = self.facts.merge(fact, now.unix_ms);
+        if is_news && let Fact::Member { name, member } = fact {
+            self.track(name, member, now);
+        }
+        is_news
+    }
+
+    fn track(&mut self, name: &Name, member: &Member, now: Now) {
+        if member.state == MemberState::Gone {
+            self.copies.remove(&Tag::of(name));
+            return;
+        }
+        let copied = self.copies.entry(Tag::of(name)).or_insert_with(|| Copied {
+            name: name.clone(),
+            availability_zone: member.availability_zone.clone(),
+            ledger: Ledger::default(),
+            heard_ms: now.ms,
+        });
+        copied.availability_zone = member.availability_zone.clone();
+    }
+
+    fn merge_update(&mut self, update: &Update, now: Now) {
+        if let Some(copied) = self.copies.get_mut(&update.instance)
+            && copied.ledger.merge(&update.delta)
+        {
+            copied.heard_ms = now.ms;
+        }
+    }
+
+    /// Readings for the sender of a pull: of its own zone only from an instance
+    /// of that zone, of other zones only what is global.
+    fn updates(&self, pull: &Pull, draw: u64, is_partial: &mut bool) -> Vec<Update> {
+        let zone = &pull.member.availability_zone;
+        let is_same_zone = *zone == self.member.availability_zone;
+        let theirs: BTreeMap<Tag, Stamp> =
+            pull.reaches.iter().map(|it| (it.instance, it.stamp)).collect();
+        let own = (Tag::of(&self.own), &self.ledger, &self.member.availability_zone);
+        let copies = self.copies.iter().map(|(tag, it)| (*tag, &it.ledger, &it.availability_zone));
+        let mut all: Vec<_> = copies.chain([own]).collect();
+        let start = (draw % all.len() as u64) as usize;
+        all.rotate_left(start);
+        let mut updates = Vec::new();
+        let mut left = ANSWER_READINGS;
+        for (instance, ledger, origin_zone) in all {
+            let is_of_their_zone = origin_zone == zone;
+            if is_of_their_zone && !is_same_zone || !is_of_their_zone && !ledger.has_global() {
+                continue;
+            }
+            let stamp = theirs.get(&instance).copied().unwrap_or_default();
+            if left == 0 {
+                *is_partial |= stamp < ledger.stamp();
+                continue;
+            }
+            let is_wanted = |subject: Subject| is_of_their_zone || subject.is_global();
+            let Some(delta) = ledger.delta(stamp, left, is_wanted) else { continue };
+            *is_partial |= delta.stamp < ledger.stamp();
+            left = left.saturating_sub(delta.changes.len());
+            updates.push(Update { instance, delta });
+        }
+        updates
+    }
+
+    fn zone_peers(&self) -> impl Iterator<Item = (&Name, &Member)> {
+        self.facts
+            .zone_members(&self.member.availability_zone)
+            .filter(|(name, _)| **name != self.own)
+    }
+
+    fn is_suspect(&self, name: &Name, now: Now) -> bool {
+        let silence_ms = self
+            .copies
+            .get(&Tag::of(name))
+            .map_or(u64::MAX, |it| now.ms.saturating_sub(it.heard_ms));
+        silence_ms > self.suspect_after_ms()
+    }
+
+    /// Grows with the logarithm of the zone, as the way of a heartbeat does.
+    fn suspect_after_ms(&self) -> u64 {
+        let peers = self.zone_peers().count() as u64;
+        let rounds = SUSPECT_AFTER_ROUNDS + 3 * u64::from((peers + 1).ilog2());
+        rounds * ROUND_MS
+    }
+
+    fn other_zones(&self) -> Vec<Name> {
+        let mut zones: Vec<Name> = self
+            .facts
+            .members()
+            .values()
+            .filter(|it| it.state != MemberState::Gone)
+            .map(|it| it.availability_zone.clone())
+            .filter(|it| *it != self.member.availability_zone)
+            .collect();
+        zones.sort();
+        zones.dedup();
+        zones
+    }
+
+    fn link_target(
+        &self,
+        zone: &Name,
+        now: Now,
+        draw: &mut impl FnMut() -> u64,
+    ) -> Option<SocketAddr> {
+        if !self.rounds.is_multiple_of(LINK_ROUNDS) || self.place(zone, now) >= LINKS {
+            return None;
+        }
+        let members: Vec<&Member> = self.facts.zone_members(zone).map(|(_, it)| it).collect();
+        pick(&members, draw()).map(|it| it.control_address)
+    }
+
+    fn drop_gone_copies(&mut self) {
+        let members = self.facts.members();
+        self.copies.retain(|_, it| {
+            members.get(&it.name).is_some_and(|member| member.state != MemberState::Gone)
+        });
+    }
+
+    /// Calls silent peers gone, unless it is rather this instance that is cut off.
+    fn declare_gone(&mut self, now: Now) {
+        let peers = self.zone_peers().count();
+        if self.live_peers(now).count() * 2 + 1 < peers {
+            return;
+        }
+        let is_silent = |name: &Name| {
+            let copied = self.copies.get(&Tag::of(name));
+            copied.is_none_or(|it| now.ms.saturating_sub(it.heard_ms) > GONE_AFTER_MS)
+        };
+        let silent: Vec<Fact> = self
+            .zone_peers()
+            .filter(|(name, _)| is_silent(name))
+            .map(|(name, member)| {
+                let state = MemberState::Gone;
+                let forget_unix_ms = now.unix_ms + GONE_KEPT_MS;
+                let member = Member { state, forget_unix_ms, ..member.clone() };
+                Fact::Member { name: name.clone(), member }
+            })
+            .collect();
+        for fact in silent {
+            self.receive(&fact, now);
+        }
+    }
+
+    /// Sums the zone's readings up for the other zones.
+    fn stage_report(&mut self) {
+        let mut used: BTreeMap<Tag, f64> = BTreeMap::new();
+        let mut loads: BTreeMap<Tag, u32> = BTreeMap::new();
+        let mut live = 1;
+        let zone = &self.member.availability_zone;
+        let copies = self.copies.values().filter(|it| it.availability_zone == *zone);
+        let copies: Vec<&Ledger> = copies.map(|it| &it.ledger).collect();
+        live += copies.len() as u32;
+        for reading in copies.iter().flat_map(|it| it.iter()).chain(self.ledger.iter()) {
+            match reading.subject {
+                Subject::AccountUse(account) => {
+                    *used.entry(account).or_default() += amount_of(reading.value);
+                }
+                Subject::EndpointLoad(endpoint) => {
+                    if let Some(model) = self.models.get(&endpoint) {
+                        *loads.entry(*model).or_default() += reading.value;
+                    }
+                }
+                _ => (),
+            }
+        }
+        self.stage(Reading { subject: Subject::LiveInstances, value: live });
+        for (account, amount) in used {
+            self.stage(Reading { subject: Subject::ZoneUse(account), value: level_of(amount) });
+        }
+        for (model, value) in loads {
+            self.stage(Reading { subject: Subject::ModelLoad(model), value });
+        }
+    }
+}
+
+fn pick<'a, T>(candidates: &[&'a T], draw: u64) -> Option<&'a T> {
+    let count = candidates.len() as u64;
+    candidates.get(draw.checked_rem(count)? as usize).copied()
+}
--- /dev/null
+++ b/crates/core/tests/gossip.rs
@@ -0,0 +1,258 @@
+//! A fleet of gossip states in one process, with messages that are lost and late.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use tanagergauge_core::{
+    Member, MemberState, Name,
+    gossip::{ANSWER_READINGS, Gossip, MESSAGE_FACTS, Now, Push, ROUND_MS, ZONE_READINGS},
+    reading::{Reading, Subject, Tag},
+};
+
+const START_UNIX_MS: u64 = 1_800_000_000_000;
+
+struct Fleet {
+    instances: BTreeMap<SocketAddr, Gossip>,
+    now: Now,
+    state: u64,
+    /// Zones cut off from all others.
+    cut: Vec<Name>,
+    /// Most bytes of an answer so far.
+    largest_bytes: usize,
+    /// Bytes of pulls and answers so far.
+    sent_bytes: usize,
+}
+
+impl Fleet {
+    fn new(zones: usize, per_zone: usize) -> Fleet {
+        let now = Now { ms: 0, unix_ms: START_UNIX_MS };
+        let mut instances = BTreeMap::new();
+        for place in 0..zones * per_zone {
+            let control_address = address(place);
+            let member = Member {
+                incarnation: START_UNIX_MS,
+                refutation: 0,
+                state: MemberState::Live,
+                forget_unix_ms: 0,
+                availability_zone: Name::from(format!("zone-{}", place / per_zone)),
+                address: ([127, 0, 0, 1], 1).into(),
+                control_address,
+            };
+            let name = Name::from(format!("entry-{place}"));
+            instances.insert(control_address, Gossip::new(name, member, now));
+        }
+        Fleet { instances, now, state: 7, cut: Vec::new(), largest_bytes: 0, sent_bytes: 0 }
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.state = self
+            .state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        self.state >> 33
+    }
+
+    fn round(&mut self) {
+        self.now.ms += ROUND_MS;
+        self.now.unix_ms += ROUND_MS;
+        let addresses: Vec<SocketAddr> = self.instances.keys().copied().collect();
+        for address in addresses {
+            self.turn(address);
+        }
+    }
+
+    fn turn(&mut self, address: SocketAddr) {
+        let now = self.now;
+        let mut state = self.draw();
+        let gossip = self.instances.get_mut(&address).unwrap();
+        gossip.begin_round(now);
+        let draw = || {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            state >> 33
+        };
+        for target in gossip.targets(&[self::address(0)], now, draw) {
+            self.exchange(address, target);
+        }
+    }
+
+    fn exchange(&mut self, from: SocketAddr, to: SocketAddr) {
+        if !self.reaches(from, to) {
+            return;
+        }
+        let draw = self.draw();
+        let pull = self.instances[&from].pull();
+        let answer = self.instances.get_mut(&to).unwrap().answer(&pull, self.now, draw);
+        let pull_bytes = postcard::to_allocvec(&pull).unwrap().len();
+        let answer_bytes = postcard::to_allocvec(&answer).unwrap().len();
+        self.largest_bytes = self.largest_bytes.max(answer_bytes);
+        self.sent_bytes += pull_bytes + answer_bytes;
+        assert!(answer.facts.len() <= MESSAGE_FACTS);
+        let readings: usize = answer.updates.iter().map(|it| it.delta.changes.len()).sum();
+        assert!(readings < ANSWER_READINGS + ZONE_READINGS);
+        self.instances.get_mut(&from).unwrap().merge(&answer, self.now);
+    }
+
+    fn reaches(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        let zone = |at: SocketAddr| &self.instances[&at].member().availability_zone;
+        self.instances.contains_key(&to)
+            && (zone(from) == zone(to)
+                || !self.cut.contains(zone(from)) && !self.cut.contains(zone(to)))
+    }
+
+    fn rounds_until(&mut self, limit: usize, is_done: impl Fn(&Fleet) -> bool) -> usize {
+        for rounds in 0..limit {
+            if is_done(self) {
+                return rounds;
+            }
+            self.round();
+        }
+        panic!("not done in {limit} rounds");
+    }
+
+    fn at(&mut self, place: usize) -> &mut Gossip {
+        self.instances.get_mut(&address(place)).unwrap()
+    }
+
+    fn all_know(&self, members: usize) -> bool {
+        self.instances.values().all(|it| it.facts().members().len() == members)
+    }
+
+    fn all_see_leaving(&self, endpoint: &str) -> bool {
+        self.instances.values().all(|it| it.facts().epoch(endpoint).is_leaving())
+    }
+}
+
+fn address(place: usize) -> SocketAddr {
+    ([127, 0, 0, 1], 10_000 + place as u16).into()
+}
+
+macro_rules! fleets_meet {
+    ($($name:ident: $zones:expr, $per_zone:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fleet = Fleet::new($zones, $per_zone);
+            let members = $zones * $per_zone;
+            fleet.rounds_until(40, |it| it.all_know(members));
+            let now = fleet.now;
+            fleet.at(members - 1).endpoint_left(&"libretto-1".into(), now);
+            fleet.rounds_until(40, |it| it.all_see_leaving("libretto-1"));
+        }
+    )*};
+}
+
+fleets_meet! {
+    a_pair_meets: 1, 2;
+    a_customers_fleet_meets: 3, 2;
+    four_zones_of_ten_meet: 4, 10;
+}
+
+#[test]
+fn cut_zones_go_on_and_heal_without_going_back() {
+    let mut fleet = Fleet::new(3, 2);
+    fleet.rounds_until(40, |it| it.all_know(6));
+    fleet.cut.push("zone-2".into());
+    let now = fleet.now;
+    fleet.at(4).endpoint_left(&"inside".into(), now);
+    fleet.at(0).endpoint_left(&"outside".into(), now);
+    for _ in 0..200 {
+        fleet.round();
+    }
+    assert!(fleet.at(5).facts().epoch("inside").is_leaving());
+    assert!(!fleet.at(5).facts().epoch("outside").is_leaving());
+    assert!(fleet.at(3).facts().epoch("outside").is_leaving());
+    fleet.cut.clear();
+    fleet.rounds_until(40, |it| it.all_see_leaving("inside") && it.all_see_leaving("outside"));
+    assert!(fleet.all_know(6));
+}
+
+#[test]
+fn a_silent_instance_is_suspected_then_gone_and_comes_back_by_refutation() {
+    let mut fleet = Fleet::new(1, 5);
+    fleet.rounds_until(40, |it| it.all_know(5));
+    let away = fleet.instances.remove(&address(4)).unwrap();
+    let is_suspected =
+        |fleet: &Fleet| fleet.instances.values().all(|it| it.suspects(fleet.now).count() == 1);
+    let rounds = fleet.rounds_until(40, is_suspected);
+    assert!(rounds >= 5, "suspected after {rounds} rounds");
+    let state = |it: &Gossip| it.facts().members()["entry-4"].state;
+    fleet.rounds_until(200, |it| it.instances.values().all(|it| state(it) == MemberState::Gone));
+    fleet.instances.insert(address(4), away);
+    fleet.rounds_until(40, |it| it.instances.values().all(|it| state(it) == MemberState::Live));
+}
+
+#[test]
+fn a_restart_overrules_the_readings_of_before() {
+    let mut fleet = Fleet::new(1, 3);
+    fleet.rounds_until(40, |it| it.all_know(3));
+    let subject = Subject::EndpointLoad(Tag::of("libretto-1"));
+    fleet.at(2).stage(Reading { subject, value: 9 });
+    let value = |it: &Gossip| {
+        let copied = it.copies().find(|it| it.name.as_str() == "entry-2")?;
+        copied.ledger.get(subject)
+    };
+    fleet.rounds_until(40, |it| value(&it.instances[&address(0)]) == Some(9));
+    let now = fleet.now;
+    let mut member = fleet.at(2).member().clone();
+    member.incarnation = now.unix_ms;
+    fleet.instances.insert(address(2), Gossip::new("entry-2".into(), member, now));
+    fleet.rounds_until(40, |it| value(&it.instances[&address(0)]).is_none());
+}
+
+#[test]
+fn a_clock_that_was_set_back_does_not_silence_an_instance() {
+    let mut fleet = Fleet::new(1, 3);
+    fleet.rounds_until(40, |it| it.all_know(3));
+    let now = fleet.now;
+    let mut member = fleet.at(2).member().clone();
+    member.incarnation -= 3_600_000;
+    fleet.instances.insert(address(2), Gossip::new("entry-2".into(), member, now));
+    let subject = Subject::EndpointLoad(Tag::of("libretto-1"));
+    fleet.at(2).stage(Reading { subject, value: 4 });
+    let value = |it: &Gossip| {
+        let copied = it.copies().find(|it| it.name.as_str() == "entry-2")?;
+        copied.ledger.get(subject)
+    };
+    fleet.rounds_until(40, |it| value(&it.instances[&address(0)]) == Some(4));
+}
+
+#[test]
+fn a_push_reaches_few_of_the_zone_and_one_of_each_other() {
+    let mut fleet = Fleet::new(3, 8);
+    fleet.rounds_until(60, |it| it.all_know(24));
+    let now = fleet.now;
+    let targets = fleet.at(0).push_targets(3, true, now, || 5);
+    assert_eq!(targets.len(), 3 + 2);
+    let fact = fleet.at(0).endpoint_left(&"libretto-1".into(), now).unwrap();
+    let push = Push { facts: vec![fact], has_crossed: false };
+    assert_eq!(fleet.at(9).receive_all(&push.facts, now).len(), 1);
+    assert!(fleet.at(9).receive_all(&push.facts, now).is_empty());
+}
+
+#[test]
+fn messages_of_a_busy_zone_stay_within_the_budget() {
+    let per_zone = 37;
+    let mut fleet = Fleet::new(1, per_zone);
+    fleet.rounds_until(60, |it| it.all_know(per_zone));
+    let change = |fleet: &mut Fleet, round: u32| {
+        for place in 0..per_zone {
+            for account in 0..390_u32 {
+                let subject = Subject::AccountUse(Tag::of(&format!("account-{account}")));
+                fleet.at(place).stage(Reading { subject, value: (account * 7 + round * 13) % 255 });
+            }
+        }
+    };
+    for round in 0..20 {
+        change(&mut fleet, round);
+        fleet.round();
+    }
+    fleet.sent_bytes = 0;
+    let rounds = 20;
+    for round in 0..rounds {
+        change(&mut fleet, 20 + round);
+        fleet.round();
+    }
+    // Every byte counts at its sender and at its receiver, in base64.
+    let per_daemon = fleet.sent_bytes * 2 * 4 / 3 / per_zone / rounds as usize;
+    assert!(per_daemon < 9_000, "{per_daemon} bytes a second");
+    assert!(fleet.largest_bytes < 8_000, "{} bytes in one answer", fleet.largest_bytes);
+    println!("{per_daemon} bytes a second, {} in one answer", fleet.largest_bytes);
+}
--- /dev/null
+++ b/crates/core/tests/ledger.rs
@@ -0,0 +1,170 @@
+//! Copies of an instance's readings only move forward and end up equal.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use tanagergauge_core::{
+    ledger::{Ledger, LedgerDelta},
+    publisher::Publisher,
+    reading::{Reading, Subject, Tag, amount_of, level_of},
+};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Publish(Vec<(u8, u8)>),
+    Copy { from: usize, to: usize, limit: usize },
+    Send { from: usize, to: usize, limit: usize },
+    Deliver { sent: usize },
+    Forget { copy: usize },
+    Restart,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        match u8::arbitrary(g) % 12 {
+            0 if bool::arbitrary(g) => Step::Restart,
+            0 => Step::Forget { copy: 1 + usize::arbitrary(g) % 3 },
+            1..=3 => Step::Publish(Vec::arbitrary(g)),
+            4..=5 => Step::Send {
+                from: usize::arbitrary(g) % 4,
+                to: 1 + usize::arbitrary(g) % 3,
+                limit: 1 + usize::arbitrary(g) % 4,
+            },
+            6..=7 => Step::Deliver { sent: usize::arbitrary(g) },
+            _ => Step::Copy {
+                from: usize::arbitrary(g) % 4,
+                to: 1 + usize::arbitrary(g) % 3,
+                limit: 1 + usize::arbitrary(g) % 4,
+            },
+        }
+    }
+}
+
+/// A delta on its way; it may arrive late and more than once.
+struct Sent {
+    to: usize,
+    delta: LedgerDelta,
+}
+
+fn reading(subject: u8, value: u8) -> Reading {
+    let subject = Subject::AccountUse(Tag([subject % 6, 0, 0, 0]));
+    Reading { subject, value: u32::from(value) }
+}
+
+/// Ledger 0 is the original, the others are copies of it or of each other.
+fn run(steps: &[Step]) -> Option<Vec<Ledger>> {
+    let mut ledgers = vec![Ledger::new(1), Ledger::default(), Ledger::default(), Ledger::default()];
+    let mut starts = 1;
+    let mut sent: Vec<Sent> = Vec::new();
+    for step in steps {
+        match step {
+            Step::Publish(changes) => {
+                let changes: Vec<_> = changes.iter().map(|(s, v)| reading(*s, *v)).collect();
+                ledgers[0].publish(&changes);
+            }
+            Step::Copy { from, to, limit } => copy(&mut ledgers, *from, *to, *limit)?,
+            Step::Send { from, to, limit } => {
+                let delta = ledgers[*from].delta(ledgers[*to].stamp(), *limit, |_| true);
+                sent.extend(delta.map(|delta| Sent { to: *to, delta }));
+            }
+            Step::Deliver { sent: place } if !sent.is_empty() => {
+                let late = &sent[place % sent.len()];
+                let before = ledgers[late.to].stamp();
+                ledgers[late.to].merge(&late.delta);
+                (ledgers[late.to].stamp() >= before).then_some(())?;
+            }
+            Step::Deliver { .. } => (),
+            Step::Forget { copy } => ledgers[*copy] = Ledger::default(),
+            Step::Restart => {
+                starts += 1;
+                ledgers[0] = Ledger::new(starts);
+            }
+        }
+    }
+    Some(ledgers)
+}
+
+/// `None` if the copy went back.
+fn copy(ledgers: &mut [Ledger], from: usize, to: usize, limit: usize) -> Option<()> {
+    let before = ledgers[to].stamp();
+    if let Some(delta) = ledgers[from].delta(before, limit, |_| true) {
+        ledgers[to].merge(&delta);
+    }
+    (ledgers[to].stamp() >= before).then_some(())
+}
+
+fn same_readings(a: &Ledger, b: &Ledger) -> bool {
+    a.stamp() == b.stamp() && a.iter().eq(b.iter())
+}
+
+macro_rules! properties {
+    ($(fn $name:ident($($arg:ident: $type:ty),*) -> bool $body:block)*) => {$(
+        #[test]
+        fn $name() {
+            fn property($($arg: $type),*) -> bool $body
+            QuickCheck::new()
+                .rng(Gen::from_size_and_seed(50, 1))
+                .tests(300)
+                .quickcheck(property as fn($($type),*) -> bool);
+        }
+    )*};
+}
+
+properties! {
+    fn copies_never_go_back(steps: Vec<Step>) -> bool {
+        run(&steps).is_some()
+    }
+
+    fn copies_of_copies_end_up_equal(steps: Vec<Step>, limit: u8) -> bool {
+        let mut ledgers = run(&steps).unwrap();
+        let limit = 1 + usize::from(limit % 3);
+        for _ in 0..steps.len() + 2 {
+            for to in 1..4 {
+                copy(&mut ledgers, to - 1, to, limit).unwrap();
+            }
+        }
+        ledgers.iter().all(|it| same_readings(it, &ledgers[0]))
+    }
+
+    fn a_copy_that_reaches_the_end_is_whole(steps: Vec<Step>) -> bool {
+        let ledgers = run(&steps).unwrap();
+        let end = ledgers[0].stamp();
+        ledgers.iter().filter(|it| it.stamp() == end).all(|it| same_readings(it, &ledgers[0]))
+    }
+
+    fn a_level_is_within_a_tenth(amount: u32) -> bool {
+        let amount = f64::from(amount);
+        let back = amount_of(level_of(amount));
+        amount < 1.0 && back == 0.0 || (back / amount - 1.0).abs() < 0.1
+    }
+
+    fn no_reading_waits_for_ever(values: Vec<u8>) -> bool {
+        let mut ledger = Ledger::new(1);
+        let mut publisher = Publisher::default();
+        let small = reading(0, 1);
+        publisher.stage(small, &ledger);
+        for round in 0..2_000_u32 {
+            for (place, value) in values.iter().take(5).enumerate() {
+                let value = value.wrapping_add((round % 250) as u8);
+                publisher.stage(reading(1 + place as u8, value), &ledger);
+            }
+            let taken = publisher.take(1, &ledger);
+            ledger.publish(&taken);
+            if taken.contains(&small) {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+#[test]
+fn a_delta_that_leaves_a_gap_is_refused() {
+    let mut ledger = Ledger::new(1);
+    ledger.publish(&[reading(0, 1)]);
+    let seen = ledger.stamp();
+    ledger.publish(&[reading(1, 2)]);
+    let delta = ledger.delta(seen, 10, |_| true).unwrap();
+    let mut forgotten = Ledger::default();
+    assert!(!forgotten.merge(&delta));
+    assert!(forgotten.merge(&ledger.delta(forgotten.stamp(), 10, |_| true).unwrap()));
+    assert!(same_readings(&forgotten, &ledger));
+}
