Serve sealed calls of peers and operators, gossip, and watch endpoints

Keys are read again when their file changes. Each side's bytes are counted on the socket, apart from callers' traffic.

Ruled out: jsonrpsee's HTTP client, whose connections cannot be counted and which repeats a call by itself; its server and types are used.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -60,6 +60,8 @@
     copies: BTreeMap<Tag, Copied>,
     /// The model each endpoint of this zone serves.
     models: BTreeMap<Tag, Tag>,
+    /// Version of the sheet in force here.
+    sheet_version: Option<u64>,
     /// Rounds begun.
     rounds: u64,
 }
@@ -88,6 +90,8 @@
     pub hashes: BucketHashes,
     /// How far its copies reach.
     pub reaches: Vec<Reach>,
+    /// Version of the sheet in force at the sender.
+    pub sheet_version: Option<u64>,
 }
 
 /// How far a copy of an instance's readings reaches.
@@ -108,6 +112,8 @@
     pub updates: Vec<Update>,
     /// Whether there was more than the limits allow.
     pub is_partial: bool,
+    /// Version of the sheet in force at the answering instance.
+    pub sheet_version: Option<u64>,
 }
 
 /// What is new in one instance's readings.
@@ -124,8 +130,6 @@
 pub struct Push {
     /// The facts.
     pub facts: Vec<Fact>,
-    /// Whether it has crossed to another zone already.
-    pub has_crossed: bool,
 }
 
 /// The time on both clocks.
@@ -151,6 +155,7 @@
             publisher: Publisher::default(),
             copies: BTreeMap::new(),
             models: BTreeMap::new(),
+            sheet_version: None,
             rounds: 0,
         }
     }
@@ -185,6 +190,16 @@
         self.models = models;
     }
 
+    /// Sets which sheet is in force here.
+    pub fn set_sheet_version(&mut self, version: u64) {
+        self.sheet_version = self.sheet_version.max(Some(version));
+    }
+
+    /// Version of the sheet in force here.
+    pub fn sheet_version(&self) -> Option<u64> {
+        self.sheet_version
+    }
+
     /// Forgets endpoints that are in no sheet any more.
     pub fn retain_endpoints(&mut self, is_known: impl Fn(&str) -> bool) {
         self.facts.retain_endpoints(is_known);
@@ -262,8 +277,8 @@
         targets
     }
 
-    /// Whom to push urgent facts to: few peers of the zone and, from the first to
-    /// learn of them, one instance of each other zone.
+    /// Whom to push urgent facts to: few peers of the zone and, if it `crosses`, as
+    /// from the first to learn of them, one instance of each other zone.
     pub fn push_targets(
         &self,
         fanout: usize,
@@ -302,6 +317,7 @@
             member: self.member.clone(),
             hashes: *self.facts.hashes(),
             reaches: copies.chain([own]).collect(),
+            sheet_version: self.sheet_version,
         }
     }
 
@@ -316,7 +332,7 @@
             facts.truncate(MESSAGE_FACTS);
         }
         let updates = self.updates(pull, draw, &mut is_partial);
-        Answer { facts, updates, is_partial }
+        Answer { facts, updates, is_partial, sheet_version: self.sheet_version }
     }
 
     /// Takes in an answer. Returns the facts that were news.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,34 +4,34 @@
 //! random number: time comes in as milliseconds and randomness as a number, so
 //! that the code which runs is the code which is model-checked and benchmarked.
 
-pub mod fact;
-pub mod facts;
-pub mod gossip;
-pub mod ledger;
-pub mod member;
 pub mod check;
 pub mod choose;
 pub mod document;
 pub mod edit;
+pub mod fact;
+pub mod facts;
 pub mod finding;
 pub mod fleet;
 pub mod fold;
+pub mod gossip;
+pub mod ledger;
 pub mod load;
 pub mod log;
+pub mod member;
 pub mod name;
 pub mod node;
 pub mod outcome;
-pub mod publisher;
-pub mod reading;
-pub mod rendezvous;
 pub mod pace;
+pub mod publisher;
 pub mod queue;
+pub mod reading;
 pub mod record;
+pub mod rendezvous;
 pub mod share;
 pub mod sheet;
 mod tree;
 
-pub use member::{Member, MemberState};
 pub use finding::{Finding, Findings, Severity};
+pub use member::{Member, MemberState};
 pub use name::Name;
 pub use outcome::{Outcome, Reason};
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -222,7 +222,7 @@
     let targets = fleet.at(0).push_targets(3, true, now, || 5);
     assert_eq!(targets.len(), 3 + 2);
     let fact = fleet.at(0).endpoint_left(&"libretto-1".into(), now).unwrap();
-    let push = Push { facts: vec![fact], has_crossed: false };
+    let push = Push { facts: vec![fact] };
     assert_eq!(fleet.at(9).receive_all(&push.facts, now).len(), 1);
     assert!(fleet.at(9).receive_all(&push.facts, now).is_empty());
 }
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -53,6 +53,8 @@
     Release(Name),
     /// An endpoint takes no new work.
     Leaving(Name),
+    /// An endpoint takes new work again.
+    Returned(Name),
 }
 
 /// The actor that owns the queue.
@@ -99,6 +101,7 @@
             Message::Acquire(ask, reply) => state.waiting.push_back((ask, reply)),
             Message::Release(endpoint) => state.release(&endpoint),
             Message::Leaving(endpoint) => state.leaving.push(endpoint),
+            Message::Returned(endpoint) => state.leaving.retain(|it| *it != endpoint),
         }
         state.dispatch(&myself);
         Ok(())
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -16,7 +16,6 @@
 use crate::{
     attempt::{self, Answer, Failure},
     body::AnswerBody,
-    dispatcher::Message,
     headers,
     refusal::Refusal,
     shared::Shared,
@@ -71,11 +70,10 @@
     }
 }
 
-/// Tells the dispatcher that an endpoint takes no new work.
+/// Tells the dispatcher and the fleet that an endpoint takes no new work.
 pub fn note_leaving(shared: &Shared, endpoint: &Name, leaving: bool) {
     if leaving {
-        // The dispatcher is gone only when the process stops.
-        let _ = shared.dispatcher.send_message(Message::Leaving(endpoint.clone()));
+        shared.endpoint_left(endpoint);
     }
 }
 
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -1,8 +1,14 @@
 //! A running instance: starts its parts and stops them in order.
 
-use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    fmt, io,
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use ractor::Actor;
+use tanagergauge_core::MemberState;
 use tokio::{
     net::TcpListener,
     sync::{Semaphore, watch},
@@ -13,9 +19,11 @@
     clock::Clock,
     counters,
     dispatcher::Dispatcher,
+    fleet::{self, Fleet, Meters},
     follower::{self, Follower},
     front,
     journal::{Event, EventKind, Journal},
+    keyring::KeyRingError,
     platform::Platform,
     pool::Pool,
     progress::Progress,
@@ -31,6 +39,8 @@
 pub enum StartError {
     /// An address cannot be listened on.
     Listen(SocketAddr, io::Error),
+    /// The file of keys cannot be used.
+    Keys(KeyRingError),
     /// A part could not be started.
     Part(&'static str),
 }
@@ -39,6 +49,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             StartError::Listen(address, error) => write!(f, "cannot listen on {address}: {error}"),
+            StartError::Keys(error) => error.fmt(f),
             StartError::Part(part) => write!(f, "the {part} did not start"),
         }
     }
@@ -55,6 +66,7 @@
     pub shared: Arc<Shared>,
     phase: watch::Sender<Phase>,
     front: JoinHandle<()>,
+    fleet: Fleet,
 }
 
 /// Starts an instance.
@@ -63,9 +75,8 @@
 /// An address is taken, or a part did not start.
 pub async fn start(settings: Settings) -> Result<Running, StartError> {
     counters::install();
-    let listener = TcpListener::bind(settings.listen)
-        .await
-        .map_err(|error| StartError::Listen(settings.listen, error))?;
+    let listener = listen(settings.listen).await?;
+    let control_listener = listen(settings.control_listen).await?;
     let address =
         listener.local_addr().map_err(|error| StartError::Listen(settings.listen, error))?;
     let (view_sender, view) = watch::channel(None);
@@ -77,22 +88,35 @@
         pool: Pool::default(),
         view,
         dispatcher,
+        peers: OnceLock::new(),
+        address,
         phase,
         streams: Arc::new(Semaphore::new(settings.limits.streams)),
         progress: Progress::default(),
         journal: Journal::default(),
         settings,
     });
+    let meters = Meters::default();
+    let log = shared.settings.platform.log;
     let arguments = follower::Arguments {
-        platform: Platform::new(shared.settings.platform.log),
+        platform: Platform::metered(log, Arc::clone(&meters.platform)),
         shared: Arc::clone(&shared),
         view: view_sender,
     };
-    Actor::spawn(None, Follower, arguments).await.map_err(|_| StartError::Part("follower"))?;
+    let (follower, _) =
+        Actor::spawn(None, Follower, arguments).await.map_err(|_| StartError::Part("follower"))?;
+    let fleet = fleet::start(fleet::Arguments {
+        shared: Arc::clone(&shared),
+        listener: control_listener,
+        follower,
+        meters,
+    })
+    .await?;
     tokio::spawn(upkeep());
     let front = tokio::spawn(front::serve(listener, Arc::clone(&shared)));
-    tracing::info!(%address, instance = %shared.settings.instance, "listening");
-    Ok(Running { address, shared, phase: phase_sender, front })
+    let control_address = fleet.control_address;
+    tracing::info!(%address, %control_address, instance = %shared.settings.instance, "listening");
+    Ok(Running { address, shared, phase: phase_sender, front, fleet })
 }
 
 impl Running {
@@ -100,14 +124,20 @@
     pub async fn stop(self) {
         self.shared.journal.record(Event::new(EventKind::StopBegun));
         self.phase.send_replace(Phase::Notice);
+        self.fleet.announce(MemberState::Leaving).await;
         tokio::time::sleep(Duration::from_millis(self.shared.settings.stop.notice_ms)).await;
         self.phase.send_replace(Phase::Draining);
         // A front that panicked has nothing left to finish.
         let _ = self.front.await;
         self.shared.progress.idle().await;
+        self.fleet.announce(MemberState::Gone).await;
     }
 }
 
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|error| StartError::Listen(address, error))
+}
+
 async fn upkeep() {
     loop {
         tokio::time::sleep(UPKEEP_INTERVAL).await;
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's log and list.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
@@ -10,7 +10,7 @@
 use tanagergauge_core::Name;
 use tokio::time::timeout;
 
-use crate::pool::Pool;
+use crate::{meter::Meter, pool::Pool};
 
 /// Longest wait for the platform to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -137,6 +137,11 @@
         Platform { address, pool: Pool::default() }
     }
 
+    /// A client whose bytes are counted.
+    pub fn metered(address: SocketAddr, meter: Arc<Meter>) -> Platform {
+        Platform { address, pool: Pool::metered(meter) }
+    }
+
     /// Appends a record and gives its offset.
     ///
     /// # Errors
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
@@ -11,7 +11,13 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    time::timeout,
+};
+
+use crate::meter::{Meter, Metered};
 
 /// Idle connections kept for each endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
@@ -26,6 +32,7 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    meter: Option<Arc<Meter>>,
 }
 
 /// A connection could not be opened, so no byte was sent.
@@ -33,6 +40,11 @@
 pub struct ConnectFailed;
 
 impl Pool {
+    /// A pool whose connections' bytes are counted.
+    pub fn metered(meter: Arc<Meter>) -> Pool {
+        Pool { meter: Some(meter), ..Pool::default() }
+    }
+
     /// An idle connection if there is one, else a new one.
     ///
     /// # Errors
@@ -44,7 +56,7 @@
     ) -> Result<Connection, ConnectFailed> {
         match self.take_idle(address) {
             Some(connection) => Ok(connection),
-            None => Pool::connect(address, connect_timeout).await,
+            None => self.connect_metered(address, connect_timeout).await,
         }
     }
 
@@ -56,18 +68,22 @@
         address: SocketAddr,
         connect_timeout: Duration,
     ) -> Result<Connection, ConnectFailed> {
-        let open = async {
-            let socket = TcpStream::connect(address).await.ok()?;
-            socket.set_nodelay(true).ok()?;
-            http1::handshake(TokioIo::new(socket)).await.ok()
+        let opened = timeout(connect_timeout, open(address)).await;
+        let socket = opened.ok().flatten().ok_or(ConnectFailed)?;
+        handshake(socket).await
+    }
+
+    async fn connect_metered(
+        &self,
+        address: SocketAddr,
+        connect_timeout: Duration,
+    ) -> Result<Connection, ConnectFailed> {
+        let Some(meter) = &self.meter else {
+            return Pool::connect(address, connect_timeout).await;
         };
-        let opened = timeout(connect_timeout, open).await;
-        let (sender, connection) = opened.ok().flatten().ok_or(ConnectFailed)?;
-        tokio::spawn(async move {
-            // A broken connection shows at the request that uses it.
-            let _ = connection.await;
-        });
-        Ok(sender)
+        let opened = timeout(connect_timeout, open(address)).await;
+        let socket = opened.ok().flatten().ok_or(ConnectFailed)?;
+        handshake(Metered::new(socket, Arc::clone(meter))).await
     }
 
     /// Gives back a connection whose last answer was read to its end.
@@ -90,3 +106,22 @@
         Some(connections.swap_remove(ready))
     }
 }
+
+async fn open(address: SocketAddr) -> Option<TcpStream> {
+    let socket = TcpStream::connect(address).await.ok()?;
+    socket.set_nodelay(true).ok()?;
+    Some(socket)
+}
+
+async fn handshake<S>(socket: S) -> Result<Connection, ConnectFailed>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let opened = http1::handshake(TokioIo::new(socket)).await;
+    let (sender, connection) = opened.map_err(|_| ConnectFailed)?;
+    tokio::spawn(async move {
+        // A broken connection shows at the request that uses it.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -29,6 +29,13 @@
     pub listen: SocketAddr,
     /// Address for peers and operators; port 0 takes any free port.
     pub control_listen: SocketAddr,
+    /// Address by which peers and operators reach this instance; `control_listen` if absent.
+    #[serde(default)]
+    pub control_address: Option<SocketAddr>,
+    /// File of the keys that instances and operators share. Without it nobody is
+    /// trusted, and the instance goes on alone.
+    #[serde(default)]
+    pub keys: Option<PathBuf>,
     /// Where the platform answers.
     pub platform: PlatformSettings,
     /// Control addresses of peers to ask first; others are learnt.
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,14 +1,17 @@
 //! What all requests of an instance share.
 
-use std::sync::Arc;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+};
 
 use ractor::ActorRef;
-use tanagergauge_core::Reason;
+use tanagergauge_core::{Name, Reason};
 use tokio::sync::{Semaphore, watch};
 
 use crate::{
-    clock::Clock, dispatcher, journal::Journal, pool::Pool, progress::Progress, refusal::Refusal,
-    settings::Settings, view::View,
+    clock::Clock, dispatcher, journal::Journal, peers, pool::Pool, progress::Progress,
+    refusal::Refusal, settings::Settings, view::View,
 };
 
 /// How far a planned stop has come. It only moves forward.
@@ -27,6 +30,8 @@
 pub struct Shared {
     /// The settings it was started with.
     pub settings: Settings,
+    /// Address for callers.
+    pub address: SocketAddr,
     /// Monotonic time.
     pub clock: Clock,
     /// Connections to endpoints.
@@ -35,6 +40,8 @@
     pub view: watch::Receiver<Option<Arc<View>>>,
     /// The queue.
     pub dispatcher: ActorRef<dispatcher::Message>,
+    /// The gossip with peers; set once it has started.
+    pub peers: OnceLock<ActorRef<peers::Message>>,
     /// How far a planned stop has come.
     pub phase: watch::Receiver<Phase>,
     /// Streams that may still be opened.
@@ -46,6 +53,15 @@
 }
 
 impl Shared {
+    /// An endpoint's own answer says that it takes no new work.
+    pub fn endpoint_left(&self, endpoint: &Name) {
+        // The actors are gone only when the process stops.
+        let _ = self.dispatcher.send_message(dispatcher::Message::Leaving(endpoint.clone()));
+        if let Some(peers) = self.peers.get() {
+            let _ = peers.send_message(peers::Message::EndpointLeft(endpoint.clone()));
+        }
+    }
+
     /// The sheet in force.
     ///
     /// # Errors
