--- a/crates/testenv/src/fleet.rs
+++ b/crates/testenv/src/fleet.rs
@@ -1,7 +1,8 @@
 //! Several daemons, the platform, and the endpoints, with a proxy before each.
 
 use std::{
-    io,
+    fs, io,
+    net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
 };
 
@@ -14,6 +15,7 @@
 
 use crate::{
     instance::{Instance, InstanceSettings},
+    keys::{TestKey, default_keys, key_file},
     sheet::{SheetPlan, publication},
 };
 
@@ -45,6 +47,10 @@
     pub limits: String,
     /// Further lines of YAML in each instance's settings.
     pub more: String,
+    /// Keys of peers and operators; with none, no instance is trusted.
+    pub keys: Vec<TestKey>,
+    /// Whether peers and operators reach each instance through a proxy.
+    pub control_proxies: bool,
 }
 
 impl Default for FleetOptions {
@@ -58,6 +64,8 @@
             notice_ms: NOTICE_MS,
             limits: String::new(),
             more: String::new(),
+            keys: default_keys(),
+            control_proxies: false,
         }
     }
 }
@@ -79,6 +87,8 @@
     pub services: Vec<Service>,
     /// A proxy before each service.
     pub service_proxies: Vec<Proxy>,
+    /// A proxy before each instance's control address, if there are any.
+    pub control_proxies: Vec<Proxy>,
     /// The instances.
     pub instances: Vec<Instance>,
     /// The sheet's plan as last published.
@@ -118,6 +128,7 @@
             engine_proxies: Vec::new(),
             services: Vec::new(),
             service_proxies: Vec::new(),
+            control_proxies: Vec::new(),
             instances: Vec::new(),
             plan: SheetPlan::default(),
             binary: binary.to_owned(),
@@ -125,6 +136,7 @@
             version: None,
             publications: 0,
         };
+        fleet.set_keys(&options.keys)?;
         fleet.plan.availability_zones = options.availability_zones.clone();
         for settings in &options.engines {
             let engine = Engine::start(settings.clone()).await?;
@@ -152,7 +164,16 @@
     ) -> io::Result<Instance> {
         let proxy = Proxy::start(self.platform.address()).await?;
         let zones = &options.availability_zones;
+        let mut more = format!("keys: {}\n{}", self.key_path().display(), options.more);
+        let mut control_listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        if options.control_proxies {
+            control_listen = free_address()?;
+            let control_proxy = Proxy::start(control_listen).await?;
+            more = format!("control_address: \"{}\"\n{more}", control_proxy.address());
+            self.control_proxies.push(control_proxy);
+        }
         let settings = InstanceSettings {
+            control_listen,
             name: format!("instance-{number}"),
             availability_zone: zones[number % zones.len()].clone(),
             log: proxy.address(),
@@ -160,7 +181,7 @@
             retention_ms: RETENTION_MS,
             notice_ms: options.notice_ms,
             limits: options.limits.clone(),
-            more: options.more.clone(),
+            more,
         };
         self.platform_proxies.push(proxy);
         Instance::start(&self.binary, self.dir.path(), settings).await
@@ -180,6 +201,21 @@
         Ok(())
     }
 
+    /// Writes the file of keys that all instances read.
+    ///
+    /// # Errors
+    /// It cannot be written.
+    pub fn set_keys(&self, keys: &[TestKey]) -> io::Result<()> {
+        // A file that is replaced whole is never seen half written.
+        let half = self.dir.path().join("keys.new");
+        fs::write(&half, key_file(keys))?;
+        fs::rename(half, self.key_path())
+    }
+
+    fn key_path(&self) -> PathBuf {
+        self.dir.path().join("keys.yaml")
+    }
+
     /// Publishes a sheet in place of the one before, and returns its offset.
     pub fn publish(&mut self, sheet: &Sheet) -> u64 {
         let base = self.version.map_or(Base::First, Base::Version);
@@ -212,3 +248,8 @@
         self.platform.set_entries(instances.chain(endpoints).collect());
     }
 }
+
+/// An address that was free just now, for a listener whose address must be known before.
+fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+}
--- a/crates/testenv/src/lib.rs
+++ b/crates/testenv/src/lib.rs
@@ -8,6 +8,7 @@
 mod call;
 mod fleet;
 mod instance;
+mod keys;
 mod raw;
 mod sheet;
 
@@ -15,6 +16,7 @@
 pub use call::{Call, Reading};
 pub use fleet::{Fleet, FleetOptions};
 pub use instance::{Instance, InstanceSettings};
+pub use keys::{FLEET_KEY, OPERATOR_KEY, TestKey, default_keys, key_file};
 pub use raw::{RawAnswer, RawConnection};
 pub use sheet::{
     DEFERRED_CLASS, LOOKUP_CLASS, MODEL, OTHER_TOKEN, PUBLISH_CLASS, SERVICE, SheetPlan, TOKEN,
