--- a/crates/testenv/src/lib.rs
+++ b/crates/testenv/src/lib.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 mod fleet;
 mod instance;
+mod keys;
 mod raw;
 mod sheet;
 
@@ -17,6 +18,7 @@
 pub use endpoint::RawEndpoint;
 pub use fleet::{Fleet, FleetOptions};
 pub use instance::{Instance, InstanceSettings};
+pub use keys::{FLEET_KEY, OPERATOR_KEY, TestKey, default_keys, key_file};
 pub use raw::{RawAnswer, RawConnection};
 pub use sheet::{
     DEFERRED_CLASS, LOOKUP_CLASS, MODEL, OTHER_TOKEN, PUBLISH_CLASS, SERVICE, SheetPlan, TOKEN,
