--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,10 +5,17 @@
 //! that the code which runs is the code which is model-checked and benchmarked.
 
 pub mod admit;
+pub mod check;
 pub mod choose;
+pub mod document;
+pub mod edit;
+pub mod finding;
 pub mod fleet;
+pub mod fold;
 pub mod load;
+pub mod log;
 pub mod name;
+pub mod node;
 pub mod outcome;
 pub mod pace;
 pub mod predict;
@@ -16,8 +23,11 @@
 pub mod quarantine;
 pub mod queue;
 pub mod retry;
+pub mod record;
 pub mod share;
 pub mod sheet;
+mod tree;
 
+pub use finding::{Finding, Findings, Severity};
 pub use name::Name;
 pub use outcome::{Outcome, Reason};
--- /dev/null
+++ b/crates/standins/tests/it/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the stand-ins over their own ports.
+
+mod client;
+mod engine;
+mod platform;
+mod proxy;
+mod service;
