--- /dev/null
+++ b/crates/core/benches/decision.rs
@@ -0,0 +1,170 @@
+//! What one decision costs at today's letter's size of a zone, and at ten times the endpoints.
+
+use std::hint::black_box;
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use tanagergauge_core::{
+    Name,
+    prefix::PrefixHashes,
+    quarantine::Fingerprint,
+    scheduler::{Act, End, Job, Scheduler, SchedulerSettings},
+    sheet::{AvailabilityZone, ClientAccount, Endpoint, Kind, OutputPrior, Sheet},
+};
+
+const ACCOUNTS: usize = 390;
+const MODELS: usize = 19;
+const TIERS: usize = 7;
+const SLOTS: u32 = 8;
+const QUEUED: u64 = 2_000;
+const NOW_MS: u64 = 1_000_000;
+
+fn sheet(endpoints: usize) -> Sheet {
+    let zone = AvailabilityZone { name: "zone".into(), region: "region".into() };
+    let endpoint = |at: usize| Endpoint {
+        name: Name::from(format!("engine-{at}")),
+        availability_zone: "zone".into(),
+        address: ([127, 0, (at / 250) as u8, (at % 250) as u8], 80).into(),
+        kind: Kind::Model,
+        serves: vec![model(at), model(at * 7 + 1)],
+        slots: SLOTS,
+        checks_fencing: false,
+        checks_orders: false,
+    };
+    let account = |at: usize| ClientAccount {
+        name: account(at),
+        share_percent: 100.0 / ACCOUNTS as f64,
+        credentials: Vec::new(),
+        classes: Vec::new(),
+    };
+    Sheet {
+        availability_zones: vec![zone],
+        endpoints: (0..endpoints).map(endpoint).collect(),
+        client_accounts: (0..ACCOUNTS).map(account).collect(),
+        ..Sheet::default()
+    }
+}
+
+fn model(at: usize) -> Name {
+    Name::from(format!("model-{}", at % MODELS))
+}
+
+fn account(at: usize) -> Name {
+    Name::from(format!("account-{}", at % ACCOUNTS))
+}
+
+struct Load {
+    scheduler: Scheduler,
+    models: Vec<Name>,
+    accounts: Vec<Name>,
+    classes: Vec<Name>,
+    last_id: u64,
+    running: Vec<u64>,
+    /// A millisecond passes with every request.
+    now_ms: u64,
+}
+
+impl Load {
+    fn new(endpoints: usize) -> Load {
+        let settings = SchedulerSettings::default();
+        let name = Name::from("instance");
+        let scheduler = Scheduler::new(settings, &sheet(endpoints), &name, "zone", NOW_MS);
+        Load {
+            scheduler,
+            models: (0..MODELS).map(model).collect(),
+            accounts: (0..ACCOUNTS).map(account).collect(),
+            classes: (0..TIERS).map(|it| Name::from(format!("class-{it}"))).collect(),
+            last_id: 0,
+            running: Vec::new(),
+            now_ms: NOW_MS,
+        }
+    }
+
+    fn ask(&mut self) {
+        self.last_id += 1;
+        self.now_ms += 1;
+        let number = self.last_id.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33;
+        let at = number as usize;
+        let job = Job {
+            id: self.last_id,
+            attempt: 1,
+            kind: Kind::Model,
+            target: self.models[at % MODELS].clone(),
+            class: self.classes[at % TIERS].clone(),
+            tier_rank: at % TIERS,
+            floor_percent: 3,
+            prior: OutputPrior::default(),
+            first_token_ms: 500,
+            account: self.accounts[at % ACCOUNTS].clone(),
+            bytes: 4_000,
+            arrived_ms: self.now_ms,
+            deadline_ms: self.now_ms + 10_000_000,
+            delivered_tokens: 0,
+            is_stream: true,
+            prefix: PrefixHashes(vec![number % 500, number]),
+            fingerprint: Fingerprint::new("account", "model", &number.to_le_bytes()),
+            avoid: Vec::new(),
+        };
+        self.scheduler.ask(job, self.now_ms, number);
+    }
+
+    fn next(&mut self) -> Act {
+        let act = self.scheduler.next(self.now_ms, self.last_id);
+        if let Act::Send(id, _) = act {
+            self.running.push(id);
+        }
+        act
+    }
+
+    fn finish_one(&mut self) {
+        let at = self.last_id as usize * 7 % self.running.len();
+        let id = self.running.swap_remove(at);
+        self.scheduler.ended(id, End::Answered, 120, self.now_ms);
+    }
+
+    /// Sends until no endpoint has room, and then fills the queue.
+    fn fill(&mut self) {
+        while self.scheduler.waiting() < QUEUED as usize {
+            self.ask();
+            while !matches!(self.next(), Act::Wait { .. }) {}
+        }
+    }
+}
+
+/// A request arrives at a half-empty fleet, is sent, and an earlier one ends.
+fn with_room(criterion: &mut Criterion, endpoints: usize) {
+    let mut load = Load::new(endpoints);
+    for _ in 0..endpoints * SLOTS as usize / 2 {
+        load.ask();
+        load.next();
+    }
+    criterion.bench_function(&format!("room/{endpoints} endpoints"), |bencher| {
+        bencher.iter(|| {
+            load.ask();
+            black_box(load.next());
+            load.finish_one();
+        });
+    });
+}
+
+/// With a full fleet and a long queue, a request ends and the next is sent.
+fn when_full(criterion: &mut Criterion, endpoints: usize) {
+    let mut load = Load::new(endpoints);
+    load.fill();
+    criterion.bench_function(&format!("full/{endpoints} endpoints"), |bencher| {
+        bencher.iter(|| {
+            load.finish_one();
+            load.ask();
+            black_box(load.next());
+        });
+    });
+}
+
+fn decisions(criterion: &mut Criterion) {
+    for endpoints in [210, 2_100] {
+        with_room(criterion, endpoints);
+        when_full(criterion, endpoints);
+    }
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/crates/core/src/choose.rs
+++ b/crates/core/src/choose.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Reason,
-    fleet::{EndpointIndex, Fleet, Routing, Target},
+    fleet::{Closed, EndpointIndex, Fleet, Routing, Target},
     queue::Turn,
 };
 
@@ -22,6 +22,9 @@
 /// Time the prompt takes for each token that is not in cache, in milliseconds.
 const PROMPT_TOKEN_MS: f64 = 0.25;
 
+/// How long a target is taken to have no room if nothing happens, in milliseconds.
+const CLOSED_MS: u64 = 100;
+
 /// Bytes in a price's unit.
 const PRICE_UNIT_BYTES: f64 = 1e9;
 
@@ -70,6 +73,13 @@
     Refuse(Reason),
 }
 
+/// Endpoints with room for a request.
+struct Found {
+    candidates: Vec<Scored>,
+    /// There are none, but another request of the tier might find some.
+    depends_on_request: bool,
+}
+
 struct Scored {
     index: EndpointIndex,
     requests: u32,
@@ -98,17 +108,47 @@
         }
     }
 
-    /// Whether [`Fleet::choose`] would send the request somewhere now.
-    pub fn has_room(&self, request: &Request<'_>, now_ms: u64) -> bool {
+    /// Whether [`Fleet::choose`] would send the request somewhere now, by the same number.
+    pub fn has_room(&mut self, request: &Request<'_>, now_ms: u64, random: u64) -> bool {
         let Some(key) = self.target_key(request.target) else { return false };
         let target = &self.targets[key];
         match self.settings.routing {
             Routing::RoundRobin => target.all().any(|it| self.takes_turn(it, request)),
             Routing::LeastLoad => target.all().any(|it| self.takes_reported(it, request)),
             Routing::Full => {
-                !self.candidates(key, request, now_ms, 0, 1).is_empty()
-                    || self.last_resort(key, request, now_ms) != Choice::Wait
+                let found = self.candidates(key, request, now_ms, random, 1);
+                let has_room = !found.candidates.is_empty()
+                    || self.last_resort(key, request, now_ms) != Choice::Wait;
+                if !has_room && !found.depends_on_request {
+                    self.close(key, request, now_ms);
+                }
+                has_room
+            }
+        }
+    }
+
+    /// Whether it is known that nothing of that tier, in that turn, has room at the target.
+    pub fn is_closed(&self, target: &str, tier_rank: usize, turn: Turn, now_ms: u64) -> bool {
+        let Some(key) = self.target_key(target) else { return false };
+        let closed = &self.targets[key].closed;
+        let is_closed = match turn {
+            Turn::Strict => closed.from_rank.is_some_and(|it| it <= tier_rank),
+            Turn::Floor => closed.floors,
+        };
+        is_closed && now_ms < closed.until_ms
+    }
+
+    fn close(&mut self, key: usize, request: &Request<'_>, now_ms: u64) {
+        let closed = &mut self.targets[key].closed;
+        if now_ms >= closed.until_ms {
+            *closed = Closed { until_ms: now_ms + CLOSED_MS, ..Closed::default() };
+        }
+        match request.turn {
+            Turn::Strict => {
+                let from_rank = closed.from_rank.unwrap_or(request.tier_rank);
+                closed.from_rank = Some(from_rank.min(request.tier_rank));
             }
+            Turn::Floor => closed.floors = true,
         }
     }
 
@@ -147,7 +187,7 @@
     }
 
     fn best(&self, key: usize, request: &Request<'_>, now_ms: u64, random: u64) -> Choice {
-        let found = self.candidates(key, request, now_ms, random, SAMPLE);
+        let found = self.candidates(key, request, now_ms, random, SAMPLE).candidates;
         if found.is_empty() {
             return self.last_resort(key, request, now_ms);
         }
@@ -188,7 +228,7 @@
         now_ms: u64,
         random: u64,
         wanted: usize,
-    ) -> Vec<Scored> {
+    ) -> Found {
         let target = &self.targets[key];
         let higher_asked = target.higher_asked(request.tier_rank, now_ms);
         let scan = |members: &[EndpointIndex]| {
@@ -200,16 +240,18 @@
                 .collect::<Vec<_>>()
         };
         let home = scan(&target.home);
+        let depends_on_request = !request.avoid.is_empty();
         if !home.is_empty() {
-            return home;
+            return Found { candidates: home, depends_on_request };
         }
-        let far = scan(&target.remote);
-        let is_patient = request.waited_ms * 100
-            < request.first_token_ms * self.settings.patience_percent
+        let mut far = scan(&target.remote);
+        let is_patient = !far.is_empty()
+            && request.waited_ms * 100 < request.first_token_ms * self.settings.patience_percent
             && self.home_works(target, now_ms);
-        far.into_iter()
-            .filter(|it| !is_patient || self.endpoints[it.index.0].is_free_of_charge())
-            .collect()
+        if is_patient {
+            far.retain(|it| self.endpoints[it.index.0].is_free_of_charge());
+        }
+        Found { candidates: far, depends_on_request: depends_on_request || is_patient }
     }
 
     fn home_works(&self, target: &Target, now_ms: u64) -> bool {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Name,
+    admit::Capacity,
     load::Load,
     pace::{Pace, Standing},
     sheet::{Kind, Sheet},
@@ -20,6 +21,9 @@
 /// How long the demand of a tier is remembered, in milliseconds.
 const DEMAND_MEMORY_MS: u64 = 30_000;
 
+/// Endpoints of a target that its capacity is worked out from.
+const CAPACITY_SAMPLE: usize = 32;
+
 /// Tiers whose demand is remembered.
 const RANK_LIMIT: usize = 16;
 
@@ -108,6 +112,8 @@
     pub(crate) price_back: f64,
     /// It stands in the region of this instance.
     pub(crate) is_home: bool,
+    /// Places of what it serves in [`Fleet::targets`].
+    pub(crate) targets: Vec<usize>,
 }
 
 /// Endpoints that serve one model or service.
@@ -119,6 +125,19 @@
     demand_ms: [u64; RANK_LIMIT],
     /// The next in turn, for [`Routing::RoundRobin`].
     pub(crate) turn: usize,
+    /// What was found to have no room; forgotten when one of the endpoints changes.
+    pub(crate) closed: Closed,
+}
+
+/// Tiers for which a target had no room at all, whatever the request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Closed {
+    /// The highest tier that found none in its strict turn, and those below it.
+    pub(crate) from_rank: Option<usize>,
+    /// Neither did a floor.
+    pub(crate) floors: bool,
+    /// Time alone may make room from then on.
+    pub(crate) until_ms: u64,
 }
 
 impl Fleet {
@@ -155,8 +174,11 @@
             endpoint.price_there = price_there;
             endpoint.price_back = price_back;
             endpoint.is_home = is_home;
+            endpoint.targets.clear();
             for served in &listed.serves {
-                let target = self.targets.entry(served.clone()).or_default();
+                let entry = self.targets.entry(target_name(listed.kind, served));
+                self.endpoints[index.0].targets.push(entry.index());
+                let target = entry.or_default();
                 let places = if is_home { &mut target.home } else { &mut target.remote };
                 places.push(index);
             }
@@ -191,6 +213,7 @@
 
     /// A request there ended with a whole answer.
     pub fn finished(&mut self, index: EndpointIndex, now_ms: u64) {
+        self.reopen(index);
         let endpoint = &mut self.endpoints[index.0];
         endpoint.load.finished(now_ms);
         endpoint.pace.succeeded(now_ms);
@@ -198,11 +221,13 @@
 
     /// A request there was cancelled or refused before running; that says nothing against it.
     pub fn released(&mut self, index: EndpointIndex, now_ms: u64) {
+        self.reopen(index);
         self.endpoints[index.0].load.finished(now_ms);
     }
 
     /// A request there failed by the endpoint's fault. Returns whether that ejected it.
     pub fn failed(&mut self, index: EndpointIndex, now_ms: u64) -> bool {
+        self.reopen(index);
         let endpoint = &mut self.endpoints[index.0];
         endpoint.load.finished(now_ms);
         endpoint.pace.failed(now_ms)
@@ -220,19 +245,28 @@
 
     /// A load report: requests running and waiting at the moment `as_of_ms`.
     pub fn report(&mut self, index: EndpointIndex, requests: u32, as_of_ms: u64) -> bool {
+        self.reopen(index);
         self.endpoints[index.0].load.report(requests, as_of_ms)
     }
 
     /// A peer sent (or, if negative, saw the end of) so many requests there at about that time.
     pub fn peer_changed(&mut self, index: EndpointIndex, by: i32, at_ms: u64) {
+        self.reopen(index);
         self.endpoints[index.0].load.changed(at_ms, by);
     }
 
     /// The endpoint takes new work no longer, or again.
     pub fn leaving(&mut self, index: EndpointIndex, leaving: bool) {
+        self.reopen(index);
         self.endpoints[index.0].leaving = leaving;
     }
 
+    fn reopen(&mut self, index: EndpointIndex) {
+        for &at in &self.endpoints[index.0].targets {
+            self.targets[at].closed = Closed::default();
+        }
+    }
+
     /// Compares the pace of those that serve the same target and ejects the slow ones, though
     /// never more than half of a target's endpoints. Returns those it ejected.
     pub fn judge(&mut self, now_ms: u64) -> Vec<EndpointIndex> {
@@ -261,6 +295,31 @@
         ejected
     }
 
+    /// What all endpoints of a target can do together, for requests of which `busy` hold slots;
+    /// worked out from some of them where they are many.
+    pub fn capacity(&self, target: &str, busy: u32, instances: u32, now_ms: u64) -> Capacity {
+        let key = self.target_key(target);
+        let target = key.map(|it| &self.targets[it]);
+        let all = target.map_or(0, |it| it.home.len() + it.remote.len());
+        let step = all.div_ceil(CAPACITY_SAMPLE).max(1);
+        let members = target.into_iter().flat_map(Target::all).step_by(step);
+        let mut capacity =
+            Capacity { slots: 0, busy, token_ms: 0.0, first_token_ms: 0.0, instances };
+        for index in members {
+            let endpoint = &self.endpoints[index.0];
+            let usable = endpoint.usable_slots(now_ms);
+            let weight = f64::from(usable);
+            capacity.slots += usable;
+            capacity.token_ms += endpoint.pace.token_ms() * weight;
+            capacity.first_token_ms += endpoint.pace.first_token_ms() * weight;
+        }
+        let slots = f64::from(capacity.slots.max(1));
+        capacity.token_ms /= slots;
+        capacity.first_token_ms /= slots;
+        capacity.slots *= step as u32;
+        capacity
+    }
+
     /// The key under which a model, with or without an adapter, is served.
     pub(crate) fn target_key(&self, target: &str) -> Option<usize> {
         let base = target.split_once(':').map_or(target, |(base, _)| base);
@@ -302,6 +361,7 @@
             price_there: 0.0,
             price_back: 0.0,
             is_home: true,
+            targets: Vec::new(),
         }
     }
 
@@ -330,6 +390,14 @@
     }
 }
 
+/// The name under which a fleet knows a model or a plain service; models have no colon.
+pub fn target_name(kind: Kind, name: &Name) -> Name {
+    match kind {
+        Kind::Model => name.clone(),
+        Kind::Service => Name::from(format!("service:{name}")),
+    }
+}
+
 fn median_token_ms(endpoints: &[Endpoint], members: &[EndpointIndex]) -> Option<f64> {
     let paces = members.iter().map(|it| &endpoints[it.0].pace).filter(|it| it.is_known());
     let mut paces: Vec<f64> = paces.map(Pace::token_ms).collect();
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -96,6 +96,20 @@
     Floor,
 }
 
+/// What endpoints are asked to take.
+#[derive(Clone, Copy, Debug)]
+pub enum Offer<'a> {
+    /// Any entry of a tier for a target; only a no counts, so that entries need not be asked.
+    Any {
+        /// The target.
+        target: &'a Name,
+        /// Rank of the tier.
+        tier_rank: usize,
+    },
+    /// This entry.
+    One(&'a Entry),
+}
+
 /// What to do next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Next {
@@ -140,8 +154,6 @@
     lanes: IndexMap<LaneKey, Lane>,
     /// Every entry of the tier by [`Entry::start_by_ms`].
     start_by: BTreeSet<(u64, u64)>,
-    /// Sum over the tier's entries.
-    cost_tokens: u64,
     /// Bytes of entries that may be pushed out.
     removable_bytes: usize,
     /// Entries that may be pushed out.
@@ -158,6 +170,8 @@
 #[derive(Clone, Debug, Default)]
 struct Lane {
     flows: IndexMap<Name, Flow>,
+    /// Sum over the lane's entries.
+    cost_tokens: u64,
 }
 
 /// Entries of one account, by arrival.
@@ -215,10 +229,11 @@
         self.bytes
     }
 
-    /// Tokens of the entries that go before one of this rank.
-    pub fn ahead_tokens(&self, rank: usize) -> u64 {
+    /// Expected tokens of the entries for a target that go before a new one of this rank.
+    pub fn ahead_tokens(&self, rank: usize, target: &Name) -> u64 {
         let ahead = if self.settings.tiers { rank.saturating_add(1) } else { usize::MAX };
-        self.tiers.iter().take(ahead).map(|it| it.cost_tokens).sum()
+        let lanes = self.tiers.iter().take(ahead).flat_map(|it| &it.lanes);
+        lanes.filter(|(key, _)| key.target == *target).map(|(_, lane)| lane.cost_tokens).sum()
     }
 
     /// Number of entries of this rank.
@@ -251,6 +266,7 @@
         let flow = lane.flows.get_mut(&place.account)?;
         let entry = flow.entries.remove(&place.key)?;
         flow.bytes -= entry.bytes;
+        lane.cost_tokens -= entry.cost_tokens;
         if flow.entries.is_empty() {
             lane.flows.swap_remove(&place.account);
         }
@@ -266,23 +282,23 @@
         Some(entry)
     }
 
-    /// Picks what to do next. `can_dispatch` tells whether an endpoint would take the entry now.
+    /// Picks what to do next. `has_room` tells whether an endpoint would take the offer now.
     pub fn next(
         &mut self,
         supply: Supply,
         shares: &Shares,
-        mut can_dispatch: impl FnMut(&Entry, Turn) -> bool,
+        mut has_room: impl FnMut(Offer<'_>, Turn) -> bool,
     ) -> Next {
         self.now_ms = self.now_ms.max(supply.now_ms);
         if let Some(entry) = self.expired(supply.now_ms) {
             return Next::Expired(entry);
         }
         if self.settings.floors
-            && let Some(id) = self.pick_floor(supply, shares, &mut can_dispatch)
+            && let Some(id) = self.pick_floor(supply, shares, &mut has_room)
         {
             return self.dispatch(id, Turn::Floor, supply.now_ms);
         }
-        match self.pick_strict(shares, &mut can_dispatch) {
+        match self.pick_strict(shares, &mut has_room) {
             Some(id) => self.dispatch(id, Turn::Strict, supply.now_ms),
             None => Next::Wait { until_ms: self.wake_ms(supply.now_ms) },
         }
@@ -311,9 +327,10 @@
         let tier = &mut self.tiers[rank];
         tier.count(&entry);
         self.bytes += entry.bytes;
-        let flows = &mut tier.lanes.entry(lane.clone()).or_default().flows;
+        let place = tier.lanes.entry(lane.clone()).or_default();
+        place.cost_tokens += entry.cost_tokens;
         self.places.insert(entry.id, Place { rank, lane, account: account.clone(), key });
-        let flow = flows.entry(account).or_default();
+        let flow = place.flows.entry(account).or_default();
         flow.bytes += entry.bytes;
         flow.entries.insert(key, entry);
     }
@@ -399,16 +416,17 @@
         &self,
         supply: Supply,
         shares: &Shares,
-        can_dispatch: &mut impl FnMut(&Entry, Turn) -> bool,
+        has_room: &mut impl FnMut(Offer<'_>, Turn) -> bool,
     ) -> Option<u64> {
         for (rank, tier) in self.tiers.iter().enumerate().skip(1) {
             for (key, lane) in &tier.lanes {
                 let class = &self.classes[&key.class];
-                if !self.floor_is_due(class, rank, supply) {
+                let lane_offer = Offer::Any { target: &key.target, tier_rank: rank };
+                if !self.floor_is_due(class, rank, supply) || !has_room(lane_offer, Turn::Floor) {
                     continue;
                 }
                 let Some(entry) = lane.head(shares, self.settings.shares) else { continue };
-                if can_dispatch(entry, Turn::Floor) {
+                if has_room(Offer::One(entry), Turn::Floor) {
                     return Some(entry.id);
                 }
             }
@@ -438,18 +456,21 @@
     fn pick_strict(
         &self,
         shares: &Shares,
-        can_dispatch: &mut impl FnMut(&Entry, Turn) -> bool,
+        has_room: &mut impl FnMut(Offer<'_>, Turn) -> bool,
     ) -> Option<u64> {
         let mut best: Option<(f64, (u64, u64))> = None;
-        for tier in &self.tiers {
-            for lane in tier.lanes.values() {
+        for (tier_rank, tier) in self.tiers.iter().enumerate() {
+            for (key, lane) in &tier.lanes {
+                if !has_room(Offer::Any { target: &key.target, tier_rank }, Turn::Strict) {
+                    continue;
+                }
                 let Some(entry) = lane.head(shares, self.settings.shares) else { continue };
                 let rank = if self.settings.shares { shares.rank(&entry.account) } else { 0.0 };
                 let order = (rank, (entry.arrived_ms, entry.id));
                 if best.is_some_and(|it| !goes_before(order, it)) {
                     continue;
                 }
-                if can_dispatch(entry, Turn::Strict) {
+                if has_room(Offer::One(entry), Turn::Strict) {
                     best = Some(order);
                 }
             }
@@ -488,7 +509,6 @@
 impl Tier {
     fn count(&mut self, entry: &Entry) {
         self.start_by.insert((entry.start_by_ms, entry.id));
-        self.cost_tokens += entry.cost_tokens;
         if !entry.started {
             self.removable += 1;
             self.removable_bytes += entry.bytes;
@@ -497,7 +517,6 @@
 
     fn discount(&mut self, entry: &Entry) {
         self.start_by.remove(&(entry.start_by_ms, entry.id));
-        self.cost_tokens -= entry.cost_tokens;
         if !entry.started {
             self.removable -= 1;
             self.removable_bytes -= entry.bytes;
--- /dev/null
+++ b/crates/core/src/scheduler.rs
@@ -0,0 +1,604 @@
+//! The policy of one instance as a whole: what to do with each request, and when.
+
+use indexmap::IndexMap;
+
+use crate::{
+    Name, Reason,
+    admit::{Admission, Capacity, Demand, Returns, admit, service_ms, slot_interval_ms},
+    choose::{Choice, Request},
+    fleet::{EndpointIndex, Fleet, FleetSettings},
+    predict::{LengthKey, Predictor},
+    prefix::{PrefixHashes, PrefixIndex},
+    quarantine::{Fingerprint, Quarantine, QuarantineSettings, Verdict},
+    queue::{Entry, Next, Offer, Push, Queue, QueueSettings, Supply, Turn},
+    retry::{RetryBudget, RetrySettings},
+    share::Shares,
+    sheet::{Kind, OutputPrior, Sheet},
+};
+
+/// Tokens of a prompt that cost as much as one token of an answer.
+const PROMPT_TOKENS_A_TOKEN: u64 = 16;
+
+/// Bytes taken for one token.
+const TOKEN_BYTES: usize = 4;
+
+/// Bytes of an answer for each of its tokens, with what a stream's events add.
+const ANSWER_TOKEN_BYTES: usize = 200;
+
+/// Silence of a running stream that counts as slowness, in milliseconds.
+const SILENCE_MS: u64 = 1_000;
+
+/// Time after which an account's use counts half, in milliseconds.
+const USE_HALF_LIFE_MS: u64 = 20_000;
+
+/// Time between two looks at the fleet's pace, in milliseconds.
+const JUDGE_INTERVAL_MS: u64 = 250;
+
+/// Blocks of prompts kept, about 100 bytes each.
+const PREFIX_BLOCKS: usize = 40_000;
+
+/// Settings of an instance's policy.
+#[derive(Clone, Debug, Default)]
+pub struct SchedulerSettings {
+    /// The queue.
+    pub queue: QueueSettings,
+    /// The choice of endpoints.
+    pub fleet: FleetSettings,
+    /// Retries.
+    pub retry: RetrySettings,
+    /// Quarantine.
+    pub quarantine: QuarantineSettings,
+    /// The mechanisms that are switched on.
+    pub switches: Switches,
+}
+
+/// Mechanisms that can be switched off, to measure what each is worth.
+#[derive(Clone, Copy, Debug)]
+pub struct Switches {
+    /// Refuse what cannot be in time.
+    pub admission: bool,
+    /// Follow prompts' prefixes.
+    pub prefixes: bool,
+    /// Bound the retries.
+    pub retry_budget: bool,
+    /// Quarantine what crashes endpoints.
+    pub quarantine: bool,
+}
+
+impl Default for Switches {
+    fn default() -> Switches {
+        Switches { admission: true, prefixes: true, retry_budget: true, quarantine: true }
+    }
+}
+
+/// A request that asks for an endpoint, for one attempt.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Unique at the instance, new for each attempt.
+    pub id: u64,
+    /// Number of the attempt, from 1.
+    pub attempt: u32,
+    /// What it asks for.
+    pub kind: Kind,
+    /// The target's name, as [`crate::fleet::target_name`] gives it.
+    pub target: Name,
+    /// Its class.
+    pub class: Name,
+    /// Rank of the class's tier.
+    pub tier_rank: usize,
+    /// Share of dispatches the class gets under any load, in percent.
+    pub floor_percent: u32,
+    /// What the sheet says of its answers' length.
+    pub prior: OutputPrior,
+    /// Its class's target for the first token.
+    pub first_token_ms: u64,
+    /// Who asks.
+    pub account: Name,
+    /// Bytes of its body.
+    pub bytes: usize,
+    /// When the request arrived.
+    pub arrived_ms: u64,
+    /// When its caller stops waiting.
+    pub deadline_ms: u64,
+    /// Tokens that earlier attempts delivered.
+    pub delivered_tokens: u32,
+    /// Whether its tokens can be seen as they come.
+    pub is_stream: bool,
+    /// Prefixes of its prompt.
+    pub prefix: PrefixHashes,
+    /// What it is known by if it crashes endpoints.
+    pub fingerprint: Fingerprint,
+    /// Endpoints that failed it.
+    pub avoid: Vec<EndpointIndex>,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// With a whole answer.
+    Answered,
+    /// By the endpoint's fault, before it took the request.
+    NotTaken,
+    /// By the endpoint's fault: it broke off or gave no proper answer.
+    Broke,
+    /// By the endpoint's fault: it was too slow.
+    TooSlow,
+    /// By no fault of the endpoint.
+    Released,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// Send the job there.
+    Send(u64, EndpointIndex),
+    /// Tell its caller that it did not run (this time).
+    Refuse(u64, Refused),
+    /// Nothing until then, unless something happens.
+    Wait {
+        /// When to ask again.
+        until_ms: u64,
+    },
+}
+
+/// Why a job is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Why.
+    pub reason: Reason,
+    /// When the caller may come again.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// The policy of one instance.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    settings: SchedulerSettings,
+    /// The endpoints.
+    pub fleet: Fleet,
+    /// Accounts' use.
+    pub shares: Shares,
+    /// Suspects and quarantined requests.
+    pub quarantine: Quarantine,
+    queue: Queue,
+    predictor: Predictor,
+    prefixes: PrefixIndex,
+    returns: Returns,
+    retries: RetryBudget,
+    /// Jobs that wait in the queue or are held.
+    waiting: IndexMap<u64, Job>,
+    /// Suspects that wait for their trial, and since when it may begin.
+    held: Vec<(u64, u64)>,
+    running: IndexMap<u64, Running>,
+    busy: Busy,
+    /// Refusals not yet given out.
+    refused: Vec<(u64, Refused)>,
+    /// Instances that share the endpoints; at least 1.
+    instances: u32,
+    judged_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    job: Job,
+    endpoint: EndpointIndex,
+    sent_ms: u64,
+    charged_tokens: u64,
+    tokens: u32,
+    /// When tokens last came.
+    heard_ms: u64,
+}
+
+/// Sums over the running jobs.
+#[derive(Clone, Debug, Default)]
+struct Busy {
+    /// Running jobs by target, and in that by rank.
+    counts: IndexMap<Name, Vec<u32>>,
+    /// Sum of the times at which they were sent.
+    sent_ms: u64,
+}
+
+impl Scheduler {
+    /// The policy of an instance in an availability zone.
+    pub fn new(
+        settings: SchedulerSettings,
+        sheet: &Sheet,
+        instance: &Name,
+        availability_zone: &str,
+        now_ms: u64,
+    ) -> Scheduler {
+        let mut scheduler = Scheduler {
+            fleet: Fleet::new(sheet, availability_zone, settings.fleet.clone()),
+            shares: Shares::new(USE_HALF_LIFE_MS),
+            quarantine: Quarantine::new(instance.clone(), settings.quarantine),
+            queue: Queue::new(settings.queue.clone()),
+            predictor: Predictor::default(),
+            prefixes: PrefixIndex::new(PREFIX_BLOCKS),
+            returns: Returns::default(),
+            retries: RetryBudget::new(settings.retry, now_ms),
+            waiting: IndexMap::new(),
+            held: Vec::new(),
+            running: IndexMap::new(),
+            busy: Busy::default(),
+            refused: Vec::new(),
+            instances: 1,
+            judged_ms: now_ms,
+            settings,
+        };
+        scheduler.update(sheet);
+        scheduler
+    }
+
+    /// Takes over another sheet.
+    pub fn update(&mut self, sheet: &Sheet) {
+        self.fleet.update(sheet);
+        for it in &sheet.client_accounts {
+            self.shares.set_share(&it.name, it.share_percent);
+        }
+    }
+
+    /// How many instances share the endpoints.
+    pub fn set_instances(&mut self, instances: u32) {
+        self.instances = instances.max(1);
+    }
+
+    /// Jobs that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Jobs that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// A job asks for an endpoint. What becomes of it, [`Scheduler::next`] tells.
+    pub fn ask(&mut self, job: Job, now_ms: u64, random: u64) {
+        self.fleet.asked(&job.target, job.tier_rank, now_ms);
+        if job.attempt == 1 {
+            self.retries.first_attempt();
+        } else if self.settings.switches.retry_budget && !self.retries.take(job.tier_rank, now_ms) {
+            self.refuse(&job, Reason::RetryBudget, 0, now_ms, random);
+            return;
+        }
+        match self.verdict(job.fingerprint, now_ms) {
+            Verdict::Run => self.enqueue(job, now_ms, random),
+            Verdict::Try { from_ms } => {
+                self.held.push((from_ms, job.id));
+                self.waiting.insert(job.id, job);
+            }
+            Verdict::Wait { until_ms } | Verdict::Quarantined { until_ms, .. } => {
+                let retry_after_ms = Some(until_ms.saturating_sub(now_ms));
+                let refused = Refused { reason: Reason::Quarantined, retry_after_ms };
+                self.refused.push((job.id, refused));
+            }
+        }
+    }
+
+    /// Tells what to do next.
+    pub fn next(&mut self, now_ms: u64, random: u64) -> Act {
+        if let Some((id, refused)) = self.refused.pop() {
+            return Act::Refuse(id, refused);
+        }
+        self.judge(now_ms);
+        self.release_held(now_ms, random);
+        if let Some((id, refused)) = self.refused.pop() {
+            return Act::Refuse(id, refused);
+        }
+        let supply = Supply { now_ms, slot_interval_ms: self.slot_interval_ms(now_ms) };
+        let Scheduler { queue, fleet, shares, waiting, predictor, .. } = self;
+        let next = queue.next(supply, shares, |offer, turn| match offer {
+            Offer::Any { target, tier_rank } => !fleet.is_closed(target, tier_rank, turn, now_ms),
+            Offer::One(entry) => {
+                let job = &waiting[&entry.id];
+                let tokens = tokens_left(predictor, job);
+                fleet.has_room(&request(job, turn, tokens, &[], now_ms), now_ms, random)
+            }
+        });
+        match next {
+            Next::Dispatch(entry, turn) => self.dispatch(&entry, turn, now_ms, random),
+            Next::Expired(entry) => self.expire(&entry, now_ms, random),
+            Next::Wait { until_ms } => {
+                let held_ms = self.held.iter().map(|it| it.0).min().unwrap_or(u64::MAX);
+                Act::Wait { until_ms: until_ms.min(held_ms) }
+            }
+        }
+    }
+
+    /// A job that waits or runs is given up by its caller.
+    pub fn left(&mut self, id: u64) {
+        self.queue.remove(id);
+        self.held.retain(|it| it.1 != id);
+        self.waiting.swap_remove(&id);
+    }
+
+    /// Tokens of a running job came, `total` of this attempt so far.
+    pub fn progress(&mut self, id: u64, total_tokens: u32, now_ms: u64) {
+        let Some(running) = self.running.get_mut(&id) else { return };
+        let elapsed_ms = now_ms.saturating_sub(running.heard_ms) as f64;
+        if running.tokens == 0 {
+            self.fleet.first_token(running.endpoint, elapsed_ms);
+        } else {
+            let tokens = total_tokens.saturating_sub(running.tokens);
+            self.fleet.tokens(running.endpoint, tokens, elapsed_ms);
+        }
+        running.tokens = total_tokens;
+        running.heard_ms = now_ms;
+    }
+
+    /// A running job ended, with so many tokens of this attempt. Returns when its caller may be
+    /// told.
+    pub fn ended(&mut self, id: u64, end: End, tokens: u32, now_ms: u64) -> u64 {
+        let Some(running) = self.running.swap_remove(&id) else { return now_ms };
+        self.busy.remove(&running);
+        self.quarantine.ended(running.job.fingerprint);
+        let used = f64::from(tokens) - running.charged_tokens as f64;
+        self.shares.charge(&running.job.account, used, now_ms);
+        match end {
+            End::Answered => self.answered(&running, tokens, now_ms),
+            End::NotTaken | End::TooSlow => {
+                self.fleet.failed(running.endpoint, now_ms);
+            }
+            End::Broke => return self.broke(&running, now_ms),
+            End::Released => self.fleet.released(running.endpoint, now_ms),
+        }
+        now_ms
+    }
+
+    fn answered(&mut self, running: &Running, tokens: u32, now_ms: u64) {
+        self.fleet.finished(running.endpoint, now_ms);
+        self.quarantine.ran(running.job.fingerprint, now_ms);
+        let elapsed_ms = now_ms.saturating_sub(running.sent_ms) as f64;
+        if running.job.kind == Kind::Service {
+            self.fleet.first_token(running.endpoint, elapsed_ms);
+            return;
+        }
+        if !running.job.is_stream {
+            let waited_ms = self.fleet.endpoint(running.endpoint).pace.first_token_ms();
+            self.fleet.tokens(running.endpoint, tokens, (elapsed_ms - waited_ms).max(1.0));
+        }
+        let total_tokens = running.job.delivered_tokens + tokens;
+        let key = length_key(&running.job);
+        self.predictor.observe(&key, &running.job.prior, total_tokens);
+    }
+
+    fn broke(&mut self, running: &Running, now_ms: u64) -> u64 {
+        self.fleet.failed(running.endpoint, now_ms);
+        self.prefixes.distrust(running.endpoint);
+        if !self.settings.switches.quarantine {
+            return now_ms;
+        }
+        let endpoint = self.fleet.endpoint(running.endpoint).name.clone();
+        self.quarantine.lost(&endpoint, &[running.job.fingerprint], now_ms)
+    }
+
+    fn verdict(&mut self, fingerprint: Fingerprint, now_ms: u64) -> Verdict {
+        if self.settings.switches.quarantine {
+            self.quarantine.ask(fingerprint, now_ms)
+        } else {
+            Verdict::Run
+        }
+    }
+
+    fn release_held(&mut self, now_ms: u64, random: u64) {
+        while let Some(at) = self.held.iter().position(|it| it.0 <= now_ms) {
+            let (_, id) = self.held.swap_remove(at);
+            let Some(job) = self.waiting.swap_remove(&id) else { continue };
+            match self.verdict(job.fingerprint, now_ms) {
+                Verdict::Run => self.enqueue(job, now_ms, random),
+                Verdict::Try { from_ms } if from_ms <= now_ms => {
+                    self.quarantine.began(job.fingerprint);
+                    self.enqueue(job, now_ms, random);
+                }
+                Verdict::Try { from_ms } => {
+                    self.held.push((from_ms, id));
+                    self.waiting.insert(id, job);
+                }
+                Verdict::Wait { .. } | Verdict::Quarantined { .. } => {
+                    self.refuse(&job, Reason::Quarantined, 0, now_ms, random);
+                }
+            }
+        }
+    }
+
+    fn enqueue(&mut self, job: Job, now_ms: u64, random: u64) {
+        let tokens = tokens_left(&self.predictor, &job);
+        let capacity = self.capacity(&job, now_ms);
+        let service_ms = match self.admission(&job, tokens, &capacity, now_ms) {
+            Admission::Admit { service_ms } => service_ms,
+            Admission::Refuse { late_ms } => {
+                self.refuse(&job, Reason::Infeasible, late_ms, now_ms, random);
+                return;
+            }
+        };
+        let prompt_tokens = job.bytes.div_ceil(TOKEN_BYTES) as u64;
+        let entry = Entry {
+            id: job.id,
+            class: job.class.clone(),
+            tier_rank: job.tier_rank,
+            floor_percent: job.floor_percent,
+            account: job.account.clone(),
+            target: job.target.clone(),
+            bytes: job.bytes,
+            arrived_ms: job.arrived_ms,
+            start_by_ms: job.deadline_ms.saturating_sub(service_ms),
+            cost_tokens: u64::from(tokens) + prompt_tokens / PROMPT_TOKENS_A_TOKEN,
+            started: job.delivered_tokens > 0,
+        };
+        match self.queue.push(entry, &self.shares, now_ms) {
+            Push::Queued => drop(self.waiting.insert(job.id, job)),
+            Push::PushedOut(out) => {
+                self.waiting.insert(job.id, job);
+                out.iter().for_each(|it| self.push_out(it, now_ms, random));
+            }
+            Push::Refused(reason) => self.refuse(&job, reason, 0, now_ms, random),
+        }
+    }
+
+    fn admission(&self, job: &Job, tokens: u32, capacity: &Capacity, now_ms: u64) -> Admission {
+        let left_ms = job.deadline_ms.saturating_sub(now_ms);
+        if job.delivered_tokens > 0 {
+            return Admission::Admit { service_ms: 0 };
+        }
+        if !self.settings.switches.admission || capacity.slots == 0 {
+            return Admission::Admit { service_ms: service_ms(tokens, capacity).min(left_ms) };
+        }
+        let demand = Demand {
+            left_ms,
+            output_tokens: tokens,
+            ahead_tokens: self.queue.ahead_tokens(job.tier_rank, &job.target),
+            mean_tokens: tokens,
+        };
+        admit(&demand, capacity)
+    }
+
+    fn capacity(&self, job: &Job, now_ms: u64) -> Capacity {
+        let own = self.busy.up_to(&job.target, job.tier_rank);
+        self.fleet.capacity(&job.target, own * self.instances, self.instances, now_ms)
+    }
+
+    fn dispatch(&mut self, entry: &Entry, turn: Turn, now_ms: u64, random: u64) -> Act {
+        let Some(job) = self.waiting.swap_remove(&entry.id) else {
+            return Act::Wait { until_ms: now_ms };
+        };
+        let tokens = tokens_left(&self.predictor, &job);
+        let cached = if self.settings.switches.prefixes {
+            self.prefixes.lookup(&job.prefix)
+        } else {
+            Vec::new()
+        };
+        let choice =
+            self.fleet.choose(&request(&job, turn, tokens, &cached, now_ms), now_ms, random);
+        let endpoint = match choice {
+            Choice::Send(endpoint) => endpoint,
+            Choice::Wait => {
+                self.enqueue(job, now_ms, random);
+                return Act::Wait { until_ms: now_ms + 1 };
+            }
+            Choice::Refuse(reason) => {
+                return Act::Refuse(job.id, Refused { reason, retry_after_ms: None });
+            }
+        };
+        self.fleet.sent(endpoint, now_ms);
+        self.prefixes.stored(endpoint, &job.prefix);
+        self.shares.charge(&job.account, entry.cost_tokens as f64, now_ms);
+        let charged_tokens = u64::from(tokens);
+        let id = job.id;
+        let running =
+            Running { job, endpoint, sent_ms: now_ms, charged_tokens, tokens: 0, heard_ms: now_ms };
+        self.busy.add(&running);
+        self.running.insert(id, running);
+        Act::Send(id, endpoint)
+    }
+
+    fn expire(&mut self, entry: &Entry, now_ms: u64, random: u64) -> Act {
+        if let Some(job) = self.waiting.swap_remove(&entry.id) {
+            self.refuse(&job, Reason::DeadlinePassed, 0, now_ms, random);
+        }
+        self.next_refusal(now_ms)
+    }
+
+    fn push_out(&mut self, entry: &Entry, now_ms: u64, random: u64) {
+        if let Some(job) = self.waiting.swap_remove(&entry.id) {
+            self.refuse(&job, Reason::QueueFull, 0, now_ms, random);
+        }
+    }
+
+    fn next_refusal(&mut self, now_ms: u64) -> Act {
+        match self.refused.pop() {
+            Some((id, refused)) => Act::Refuse(id, refused),
+            None => Act::Wait { until_ms: now_ms },
+        }
+    }
+
+    fn refuse(&mut self, job: &Job, reason: Reason, late_ms: u64, now_ms: u64, random: u64) {
+        let capacity = self.capacity(job, now_ms);
+        let tokens = tokens_left(&self.predictor, job);
+        let interval_ms = slot_interval_ms(tokens, &capacity);
+        let returns = &mut self.returns;
+        let hint_ms = returns.retry_after_ms(&job.target, late_ms, interval_ms, now_ms, random);
+        let refused = Refused { reason, retry_after_ms: Some(hint_ms) };
+        self.refused.push((job.id, refused));
+    }
+
+    fn judge(&mut self, now_ms: u64) {
+        if now_ms < self.judged_ms + JUDGE_INTERVAL_MS {
+            return;
+        }
+        self.judged_ms = now_ms;
+        for it in self.running.values_mut() {
+            let silent_ms = now_ms.saturating_sub(it.heard_ms);
+            if it.job.is_stream && it.tokens > 0 && silent_ms >= SILENCE_MS {
+                self.fleet.tokens(it.endpoint, 1, silent_ms as f64);
+            }
+        }
+        self.fleet.judge(now_ms);
+        self.quarantine.expire(now_ms);
+    }
+
+    /// Mean time from one freed slot to the next, over all that this instance runs.
+    fn slot_interval_ms(&self, now_ms: u64) -> u64 {
+        let ages_ms = (self.running.len() as u64 * now_ms).saturating_sub(self.busy.sent_ms);
+        let count = self.running.len().max(1) as u64;
+        // Runs are half over when they are seen.
+        (2 * ages_ms / count / count).max(1)
+    }
+}
+
+impl Busy {
+    fn add(&mut self, running: &Running) {
+        self.sent_ms += running.sent_ms;
+        let rank = running.job.tier_rank;
+        let counts = self.counts.entry(running.job.target.clone()).or_default();
+        if counts.len() <= rank {
+            counts.resize(rank + 1, 0);
+        }
+        counts[rank] += 1;
+    }
+
+    fn remove(&mut self, running: &Running) {
+        self.sent_ms -= running.sent_ms;
+        if let Some(counts) = self.counts.get_mut(&running.job.target) {
+            counts[running.job.tier_rank] -= 1;
+        }
+    }
+
+    /// Jobs of a tier and those above it that run for a target.
+    fn up_to(&self, target: &Name, rank: usize) -> u32 {
+        let counts = self.counts.get(target);
+        counts.map_or(0, |it| it.iter().take(rank + 1).sum())
+    }
+}
+
+fn length_key(job: &Job) -> LengthKey {
+    LengthKey { class: job.class.clone(), account: job.account.clone(), model: job.target.clone() }
+}
+
+fn tokens_left(predictor: &Predictor, job: &Job) -> u32 {
+    if job.kind == Kind::Service {
+        return 0;
+    }
+    let tokens = predictor.tokens(&length_key(job), &job.prior, 0.5);
+    tokens.saturating_sub(job.delivered_tokens).max(1)
+}
+
+fn request<'a>(
+    job: &'a Job,
+    turn: Turn,
+    output_tokens: u32,
+    cached: &'a [crate::choose::Cached],
+    now_ms: u64,
+) -> Request<'a> {
+    Request {
+        target: &job.target,
+        tier_rank: job.tier_rank,
+        turn,
+        output_tokens,
+        request_bytes: job.bytes,
+        answer_bytes: output_tokens as usize * ANSWER_TOKEN_BYTES,
+        waited_ms: now_ms.saturating_sub(job.arrived_ms),
+        first_token_ms: job.first_token_ms,
+        cached,
+        avoid: &job.avoid,
+    }
+}
--- a/crates/core/tests/choose.rs
+++ b/crates/core/tests/choose.rs
@@ -156,7 +156,7 @@
                 _ => {
                     let avoid = [index];
                     let request = Request { avoid: &avoid, ..request(usize::from(rank % 3)) };
-                    let has_room = fleet.has_room(&request, now_ms);
+                    let has_room = fleet.has_room(&request, now_ms, u64::from(at));
                     let Choice::Send(chosen) = fleet.choose(&request, now_ms, u64::from(at)) else {
                         if has_room {
                             return false;
--- a/crates/core/tests/queue.rs
+++ b/crates/core/tests/queue.rs
@@ -5,7 +5,7 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use tanagergauge_core::{
     Name, Reason,
-    queue::{Entry, Next, Push, Queue, QueueSettings, Supply, Turn},
+    queue::{Entry, Next, Offer, Push, Queue, QueueSettings, Supply, Turn},
     share::Shares,
 };
 
@@ -144,7 +144,7 @@
     fn next(&mut self, busy: Option<usize>) -> Result<(), String> {
         let supply = Supply { now_ms: self.now_ms, slot_interval_ms: 100 };
         let can = |it: &Entry| busy.is_none_or(|busy| it.target.as_str() != TARGETS[busy]);
-        match self.queue.next(supply, &self.shares, |it, _| can(it)) {
+        match self.queue.next(supply, &self.shares, |offer, _| takes(offer, can)) {
             Next::Dispatch(entry, turn) => {
                 let above = self
                     .waiting
@@ -184,6 +184,13 @@
     }
 }
 
+fn takes(offer: Offer<'_>, can: impl Fn(&Entry) -> bool) -> bool {
+    match offer {
+        Offer::Any { .. } => true,
+        Offer::One(entry) => can(entry),
+    }
+}
+
 fn small() -> QueueSettings {
     QueueSettings {
         max_bytes: MAX_BYTES,
