--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! random number: time comes in as milliseconds and randomness as a number, so
 //! that the code which runs is the code which is model-checked and benchmarked.
 
+pub mod admit;
 pub mod check;
 pub mod choose;
 pub mod document;
@@ -23,10 +24,15 @@
 pub mod outcome;
 pub mod pace;
 pub mod publisher;
+pub mod predict;
+pub mod prefix;
+pub mod quarantine;
 pub mod queue;
 pub mod reading;
 pub mod record;
 pub mod rendezvous;
+pub mod retry;
+pub mod scheduler;
 pub mod share;
 pub mod sheet;
 mod tree;
