--- a/crates/testenv/src/keys.rs
+++ b/crates/testenv/src/keys.rs
@@ -44,6 +44,9 @@
 
 /// The text of a file of keys.
 pub fn key_file(keys: &[TestKey]) -> String {
+    if keys.is_empty() {
+        return String::from("keys: []\n");
+    }
     let mut yaml = String::from("keys:\n");
     for key in keys {
         let TestKey { id, rights, not_before_unix_ms, not_after_unix_ms, secret } = key;
