--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -15,6 +15,8 @@
     /// Changes by this instance and its peers after the report, by time; at most
     /// [`CHANGE_LIMIT`].
     changes: VecDeque<Change>,
+    /// Sum of the changes.
+    changed: i32,
     /// Requests that this instance has there now.
     own: u32,
 }
@@ -28,8 +30,7 @@
 impl Load {
     /// Requests there, by the best knowledge; never fewer than this instance's own.
     pub fn estimate(&self) -> u32 {
-        let changed: i32 = self.changes.iter().map(|it| it.by).sum();
-        self.reported.saturating_add_signed(changed).max(self.own)
+        self.reported.saturating_add_signed(self.changed).max(self.own)
     }
 
     /// Requests there by the last report alone.
@@ -64,6 +65,7 @@
         if at_ms <= self.as_of_ms || by == 0 {
             return;
         }
+        self.changed += by;
         let after = self.changes.iter().rev().take_while(|it| it.at_ms > at_ms).count();
         self.changes.insert(self.changes.len() - after, Change { at_ms, by });
         if self.changes.len() > CHANGE_LIMIT
@@ -81,8 +83,8 @@
         }
         self.reported = requests;
         self.as_of_ms = as_of_ms;
-        while self.changes.front().is_some_and(|it| it.at_ms <= as_of_ms) {
-            self.changes.pop_front();
+        while let Some(it) = self.changes.pop_front_if(|it| it.at_ms <= as_of_ms) {
+            self.changed -= it.by;
         }
         true
     }
