Add the operators' tool with sheet, try, load and bench

Operators, newcomers and measurements need one program. `sheet publish` says accepted only after it has read its own publication back through the same fold that instances use; with the append's answer lost it looks for the publication and appends the same record again, which is harmless since both copies name the same base. Latency counts from the moment a request was due, so that a slow answer delays no later request (no coordinated omission); every answer of a stand-in is compared with the one its request must have.

Ruled out: timing the send instead of the schedule; a rate in requests only, as no two sheets compare by it (--times-capacity works it out from the stand-ins' pace).

--- a/crates/core/src/finding.rs
+++ b/crates/core/src/finding.rs
@@ -114,6 +114,13 @@
     pub rests_on: Option<Path>,
 }
 
+impl Finding {
+    /// Whether the document cannot be used because of it.
+    pub fn is_error(&self) -> bool {
+        self.severity == Severity::Error
+    }
+}
+
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}: ", self.severity)?;
@@ -156,7 +163,7 @@
 
     /// Whether one of them is an error.
     pub fn has_errors(&self) -> bool {
-        self.0.iter().any(|it| it.severity == Severity::Error)
+        self.0.iter().any(Finding::is_error)
     }
 
     /// Whether there are none.
--- a/crates/tool/src/main.rs
+++ b/crates/tool/src/main.rs
@@ -1,2 +1,25 @@
-//! Placeholder.
-fn main() {}
+//! The operators' command-line tool.
+
+mod bench;
+mod call;
+mod cli;
+mod client;
+mod diff;
+mod failure;
+mod load;
+mod log;
+mod output;
+mod plan;
+mod profile;
+mod program;
+mod report;
+mod sheet;
+mod stage;
+mod tally;
+mod trial;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    program::run()
+}
