--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -139,9 +139,10 @@
         let view = Arc::new(View::new(version, Arc::clone(&in_force.sheet)));
         // The dispatcher is gone only when the process stops.
         let _ = self.shared.dispatcher.send_message(dispatcher::Message::Sheet(Arc::clone(&view)));
-        self.view.send_replace(Some(view));
+        // Recorded first, so that whoever sees the instance ready finds the event.
         let detail = Some(format!("version {version}"));
         self.shared.journal.record(Event { detail, ..Event::new(EventKind::SheetInForce) });
+        self.view.send_replace(Some(view));
     }
 
     fn record(&self, effect: &Effect) {
