Run what may not be repeated once, by its key's owner

Cause: a retry through another instance ran a cue publish a second time.

Claims are batched in one append per spacing and decided by reading them back; an append's answer decides nothing. A request goes to its key's owner over the sealed control channel, which needs no second kind of trust; ruled out: a header on the callers' port, which a caller could send too. The owner runs it in a task of its own, so that a caller who leaves finds the answer by the same key. Tickets are authenticated by a key that never leaves the process.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -14,9 +14,10 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::{self, Answer, Failure},
+    attempt::{self, Answer, Failure, Ran},
     body::AnswerBody,
     headers,
+    once::Hold,
     refusal::Refusal,
     shared::Shared,
     work::{Attempts, Next, Work},
@@ -49,19 +50,28 @@
     }
 }
 
-/// Runs a request until an endpoint's whole answer is here.
+/// Runs a request until an endpoint's whole answer is here. With a hold, its key says
+/// whether it may be sent.
 ///
 /// # Errors
 /// What the caller is told if there is none.
-pub async fn run(shared: &Shared, work: &Work) -> Result<WholeAnswer, Refusal> {
+pub async fn run(
+    shared: &Shared,
+    work: &Work,
+    hold: Option<&Hold>,
+) -> Result<WholeAnswer, Refusal> {
     let mut attempts = Attempts::default();
     loop {
         let permit = attempts.begin(shared, work).await?;
+        hold.map_or(Ok(()), Hold::begin)?;
         let failure =
             match one_attempt(shared, work, permit.endpoint.address, attempts.number()).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
+        if let (Some(hold), Ran::No) = (hold, failure.ran) {
+            hold.retract();
+        }
         note_leaving(shared, &permit.endpoint.name, failure.leaving);
         match attempts.failed(shared, &permit.endpoint.name, failure, work) {
             Next::Retry => {}
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -15,7 +15,7 @@
     control::{self, ControlContext, ControlMethod},
     dispatcher,
     fleet_view::FleetView,
-    follower,
+    follower, forward,
     instance::StartError,
     keyring::{KeyRing, Rights},
     meter::{Meter, Partner},
@@ -214,7 +214,7 @@
     fleet: &Fleet,
     follower: &ActorRef<follower::Message>,
 ) -> Vec<ControlMethod> {
-    let mut methods = peer_methods(fleet, follower);
+    let mut methods = peer_methods(shared, fleet, follower);
     let operator = Operator {
         shared: Arc::clone(shared),
         fleet: fleet.view.clone(),
@@ -224,7 +224,11 @@
     methods
 }
 
-fn peer_methods(fleet: &Fleet, follower: &ActorRef<follower::Message>) -> Vec<ControlMethod> {
+fn peer_methods(
+    shared: &Arc<Shared>,
+    fleet: &Fleet,
+    follower: &ActorRef<follower::Message>,
+) -> Vec<ControlMethod> {
     let peers = fleet.peers.clone();
     let pull = ControlMethod::new(peers::PULL, Rights::Peer, move |pull| {
         let (reply, answer) = oneshot::channel();
@@ -245,7 +249,11 @@
         let _ = follower.send_message(follower::Message::Copy(reply));
         async move { copy.await.ok().flatten() }
     });
-    vec![pull, push, sheet]
+    let shared = Arc::clone(shared);
+    let run = ControlMethod::new(forward::RUN, Rights::Peer, move |question| {
+        forward::answer(Arc::clone(&shared), question)
+    });
+    vec![pull, push, sheet, run]
 }
 
 fn operator_methods(operator: &Operator) -> Vec<ControlMethod> {
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -185,7 +185,8 @@
     u64::from(u16::from_be_bytes([a, b])) * SNAPSHOT_SPREAD_MS / u64::from(u16::MAX)
 }
 
-fn core_page(page: platform::Page) -> Page {
+/// A page as the core reads it.
+pub(crate) fn core_page(page: platform::Page) -> Page {
     let record = |it: platform::PageRecord| LogRecord {
         offset: it.offset,
         appended_unix_ms: it.appended_unix_ms,
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -16,7 +16,7 @@
     server::graceful::GracefulShutdown,
 };
 use serde::{Deserialize, Serialize, de::IgnoredAny};
-use tanagergauge_core::{Name, Reason, sheet::Kind};
+use tanagergauge_core::{Name, Outcome, Reason, sheet::Kind};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
@@ -32,9 +32,10 @@
     ending::Ending,
     exchange, headers,
     journal::EventKind,
+    once,
     refusal::Refusal,
     shared::{Phase, Shared},
-    stream,
+    stream, tickets,
     view::{RankedClass, Target, View},
     work::{Ended, Work},
 };
@@ -47,6 +48,8 @@
 const STREAMS_RETRY_MS: u64 = 1000;
 /// Path of chat completions.
 const CHAT_PATH: &str = "/v1/chat/completions";
+/// Path that gives tickets.
+const TICKETS_PATH: &str = "/v1/tickets";
 /// Prefix of the paths of plain services.
 const SERVICES_PREFIX: &str = "/services/";
 
@@ -149,6 +152,7 @@
         (&Method::GET, "/readyz") => Ok(readiness(&shared)),
         (&Method::GET, "/metrics") => Ok(text(StatusCode::OK, counters::render())),
         (&Method::GET, "/v1/models") => counted(models(&shared, request.headers())),
+        (&Method::POST, TICKETS_PATH) => counted(tickets::give(&shared, request.headers())),
         (&Method::POST, CHAT_PATH) => chat(shared, request, request_id).await,
         (_, path) if path.starts_with(SERVICES_PREFIX) => {
             service(shared, request, request_id).await
@@ -237,7 +241,12 @@
 
 async fn whole(shared: Arc<Shared>, work: Work) -> Result<Response<AnswerBody>, Refusal> {
     let ending = Ending::new(Arc::clone(&shared), work.clone());
-    match exchange::run(&shared, &work).await {
+    let ended = if work.call.repeatable {
+        exchange::run(&shared, &work, None).await
+    } else {
+        once::run(&shared, &work).await
+    };
+    match ended {
         Ok(answer) => {
             ending.record(Ended::Answered);
             Ok(answer.response(&work.call.request_id))
@@ -255,7 +264,7 @@
     request_id: &Name,
 ) -> Result<(Work, bool), Refusal> {
     let arrived_ms = shared.clock.now_ms();
-    let view = shared.view()?;
+    let view = shared.view().map_err(|it| unless_keyed(request.headers(), it))?;
     let caller = caller::identify(request.headers(), &view, unix_ms())?;
     check_kind(&caller.class, Kind::Model)?;
     let (parts, body) = request.into_parts();
@@ -263,6 +272,10 @@
     let head = parse_chat(&body)?;
     let target = model_target(&view, &head.model)?;
     let is_stream = head.stream;
+    if is_stream && !caller.class.class.repeatable {
+        let message = "a request that may not be repeated is answered whole, not as a stream";
+        return Err(Refusal::not_run(Reason::WrongKind, message));
+    }
     let uri = Uri::from_static(CHAT_PATH);
     let call = call(parts.method, uri, &parts.headers, body, request_id, &caller);
     Ok((Work { caller, target, call, arrived_ms }, is_stream))
@@ -291,7 +304,7 @@
     request_id: &Name,
 ) -> Result<Work, Refusal> {
     let arrived_ms = shared.clock.now_ms();
-    let view = shared.view()?;
+    let view = shared.view().map_err(|it| unless_keyed(request.headers(), it))?;
     let caller = caller::identify(request.headers(), &view, unix_ms())?;
     check_kind(&caller.class, Kind::Service)?;
     let (target, uri) = service_target(&view, request.uri())?;
@@ -317,6 +330,15 @@
     Ok((target, uri))
 }
 
+/// An instance without a sheet cannot tell what became of a key's earlier sendings.
+fn unless_keyed(map: &HeaderMap, refusal: Refusal) -> Refusal {
+    if map.contains_key(headers::IDEMPOTENCY_KEY) {
+        Refusal { outcome: Outcome::Unknown, ..refusal }
+    } else {
+        refusal
+    }
+}
+
 fn check_kind(class: &RankedClass, kind: Kind) -> Result<(), Refusal> {
     if class.class.kind == kind {
         return Ok(());
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -24,6 +24,7 @@
     front,
     journal::{Event, EventKind, Journal},
     keyring::KeyRingError,
+    keys,
     platform::Platform,
     pool::Pool,
     progress::Progress,
@@ -89,6 +90,7 @@
         view,
         dispatcher,
         peers: OnceLock::new(),
+        keys: OnceLock::new(),
         address,
         phase,
         streams: Arc::new(Semaphore::new(settings.limits.streams)),
@@ -97,6 +99,7 @@
         settings,
     });
     let meters = Meters::default();
+    let platform_meter = Arc::clone(&meters.platform);
     let log = shared.settings.platform.log;
     let arguments = follower::Arguments {
         platform: Platform::metered(log, Arc::clone(&meters.platform)),
@@ -112,6 +115,7 @@
         meters,
     })
     .await?;
+    keys::start(&shared, &fleet, &platform_meter).await?;
     tokio::spawn(upkeep());
     let front = tokio::spawn(front::serve(listener, Arc::clone(&shared)));
     let control_address = fleet.control_address;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,6 +14,8 @@
     finding::{Findings, Path},
 };
 
+use crate::idempotency::IdempotencySettings;
+
 /// Smallest head that the HTTP library can be told to accept, in bytes.
 const MIN_HEAD_BYTES: usize = 8192;
 
@@ -47,6 +49,9 @@
     /// How a planned stop goes.
     #[serde(default)]
     pub stop: StopSettings,
+    /// How idempotency keys are kept.
+    #[serde(default)]
+    pub idempotency: IdempotencySettings,
     /// Level or filter of the log, as `info` or `tanagergauge_daemon=debug`.
     #[serde(default = "default_log")]
     pub log: String,
@@ -140,6 +145,8 @@
         check_name(&mut findings, root.field("instance"), &self.instance);
         check_name(&mut findings, root.field("availability_zone"), &self.availability_zone);
         self.limits.check(&root.field("limits"), &mut findings);
+        let retention_ms = self.platform.retention_ms;
+        self.idempotency.check(retention_ms, &root.field("idempotency"), &mut findings);
         findings
     }
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{Semaphore, watch};
 
 use crate::{
-    clock::Clock, dispatcher, journal::Journal, peers, pool::Pool, progress::Progress,
+    clock::Clock, dispatcher, journal::Journal, keys::Keys, peers, pool::Pool, progress::Progress,
     refusal::Refusal, settings::Settings, view::View,
 };
 
@@ -42,6 +42,8 @@
     pub dispatcher: ActorRef<dispatcher::Message>,
     /// The gossip with peers; set once it has started.
     pub peers: OnceLock<ActorRef<peers::Message>>,
+    /// Idempotency keys; set once the instance has started.
+    pub keys: OnceLock<Arc<Keys>>,
     /// How far a planned stop has come.
     pub phase: watch::Receiver<Phase>,
     /// Streams that may still be opened.
@@ -73,6 +75,15 @@
             .ok_or_else(|| Refusal::not_run(Reason::NotReady, "no sheet is in force yet"))
     }
 
+    /// The idempotency keys.
+    ///
+    /// # Errors
+    /// The instance is still starting.
+    pub fn keys(&self) -> Result<&Arc<Keys>, Refusal> {
+        let starting = || Refusal::unknown(Reason::NotReady, "the instance is still starting");
+        self.keys.get().ok_or_else(starting)
+    }
+
     /// How far a planned stop has come.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
