Let the policy dispatch requests in the daemon

The dispatcher owns the core's scheduler; the plain round robin stays a setting (policy: routing, queueing, and a switch for each mechanism). Permits tell tokens, ends and lost endpoints; load reports, peers' requests, accounts' use and suspicions come from the watcher and gossip and go back there. An attempt counts as a lost endpoint only if the endpoint then takes no connection. A fault found on the way: an endpoint never observed was taken for slow and never tried again; it now counts as fast as the best known.

Test changed: outcomes.rs let each engine have its turn, which round robin did; its fleets now set round-robin and no retry budget (it fails every request on purpose, the budget is tested in crates/core/tests/learn.rs). Its checks are as before. learn.rs names the budget's settings it was written for.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -103,6 +103,7 @@
             prefix: PrefixHashes(vec![number % 500, number]),
             fingerprint: Fingerprint::new("account", "model", &number.to_le_bytes()),
             avoid: Vec::new(),
+            is_suspect: false,
         };
         self.scheduler.ask(job, self.now_ms, number);
     }
--- a/crates/core/src/choose.rs
+++ b/crates/core/src/choose.rs
@@ -19,6 +19,9 @@
 /// A prefix in cache is followed up to this much above the mean load, in percent.
 const AFFINITY_LOAD_PERCENT: u32 = 125;
 
+/// Time a request is taken to need where no endpoint was observed, in milliseconds.
+const UNKNOWN_WORK_MS: f64 = 1_000.0;
+
 /// Time the prompt takes for each token that is not in cache, in milliseconds.
 const PROMPT_TOKEN_MS: f64 = 0.25;
 
@@ -83,7 +86,11 @@
 struct Scored {
     index: EndpointIndex,
     requests: u32,
-    score_ms: f64,
+    /// Time for the request alone, if the endpoint's pace is known.
+    work_ms: Option<f64>,
+    /// Part of the usable slots that are taken.
+    busy: f64,
+    cost_ms: f64,
     saved_ms: f64,
 }
 
@@ -193,8 +200,12 @@
         }
         let mean = found.iter().map(|it| it.requests).sum::<u32>() / found.len() as u32;
         let bound = (mean + 1) * AFFINITY_LOAD_PERCENT / 100;
+        // An endpoint that was not observed yet is taken for as fast as the best.
+        let known = found.iter().filter_map(|it| it.work_ms);
+        let best_ms = known.min_by(f64::total_cmp).unwrap_or(UNKNOWN_WORK_MS);
         let score = |it: &Scored| {
-            if it.requests <= bound { it.score_ms - it.saved_ms } else { it.score_ms }
+            let saved_ms = if it.requests <= bound { it.saved_ms } else { 0.0 };
+            it.work_ms.unwrap_or(best_ms) * (1.0 + it.busy) + it.cost_ms - saved_ms
         };
         let best = found.iter().min_by(|a, b| score(a).total_cmp(&score(b)));
         best.map_or(Choice::Wait, |it| Choice::Send(it.index))
@@ -275,13 +286,14 @@
         }
         let cached = request.cached.iter().find(|it| it.endpoint == index);
         let saved_ms = cached.map_or(0.0, |it| f64::from(it.tokens) * PROMPT_TOKEN_MS);
-        let work_ms = endpoint.pace.first_token_ms()
-            + endpoint.pace.token_ms() * f64::from(request.output_tokens);
+        let pace = &endpoint.pace;
+        let work_ms = pace.first_token_ms() + pace.token_ms() * f64::from(request.output_tokens);
+        let work_ms = pace.is_known().then_some(work_ms);
         let busy = f64::from(requests) / f64::from(usable);
         let cost = endpoint.price_there * request.request_bytes as f64
             + endpoint.price_back * request.answer_bytes as f64;
         let cost_ms = cost / PRICE_UNIT_BYTES * self.settings.currency_ms;
-        Some(Scored { index, requests, score_ms: work_ms * (1.0 + busy) + cost_ms, saved_ms })
+        Some(Scored { index, requests, work_ms, busy, cost_ms, saved_ms })
     }
 
     /// Requests an endpoint may have for this one to be sent there.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -102,6 +102,8 @@
     pub load: Load,
     /// Its speed and failures.
     pub pace: Pace,
+    /// Requests that peers were last known to have there.
+    peers_requests: u32,
     /// It takes no new work.
     pub leaving: bool,
     /// It is no longer in the sheet.
@@ -249,6 +251,16 @@
         self.endpoints[index.0].load.report(requests, as_of_ms)
     }
 
+    /// Peers are now known to have so many requests there, as of about that time.
+    pub fn peers_have(&mut self, index: EndpointIndex, requests: u32, at_ms: u64) {
+        let endpoint = &mut self.endpoints[index.0];
+        let before = std::mem::replace(&mut endpoint.peers_requests, requests);
+        let by = i64::from(requests) - i64::from(before);
+        if by != 0 {
+            self.peer_changed(index, by as i32, at_ms);
+        }
+    }
+
     /// A peer sent (or, if negative, saw the end of) so many requests there at about that time.
     pub fn peer_changed(&mut self, index: EndpointIndex, by: i32, at_ms: u64) {
         self.reopen(index);
@@ -295,6 +307,15 @@
         ejected
     }
 
+    /// Whether any endpoint but those to avoid takes new work for a target.
+    pub fn serves(&self, target: &str, avoid: &[EndpointIndex]) -> bool {
+        let Some(key) = self.target_key(target) else { return false };
+        self.targets[key].all().any(|it| {
+            let endpoint = &self.endpoints[it.0];
+            !endpoint.leaving && !endpoint.removed && !avoid.contains(&it)
+        })
+    }
+
     /// What all endpoints of a target can do together, for requests of which `busy` hold slots;
     /// worked out from some of them where they are many.
     pub fn capacity(&self, target: &str, busy: u32, instances: u32, now_ms: u64) -> Capacity {
@@ -356,6 +377,7 @@
             slots: 1,
             load: Load::default(),
             pace: Pace::new(FIRST_TOKEN_PACE_MS, FIRST_TOKEN_WAIT_MS),
+            peers_requests: 0,
             leaving: false,
             removed: false,
             price_there: 0.0,
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -16,6 +16,15 @@
 /// How long a trial is waited for before another may begin, in milliseconds.
 const TRIAL_LIMIT_MS: u64 = 60_000;
 
+/// First word of the finding of a lost endpoint.
+const LOSS: &str = "loss";
+
+/// First word of the finding of a whole run.
+const CLEARED: &str = "ran";
+
+/// First word of the finding of a trial.
+const TRIAL: &str = "trial";
+
 /// Settings of the quarantine.
 #[derive(Clone, Copy, Debug)]
 pub struct QuarantineSettings {
@@ -27,7 +36,7 @@
 
 impl Default for QuarantineSettings {
     fn default() -> QuarantineSettings {
-        QuarantineSettings { memory_ms: 600_000, settle_ms: 500 }
+        QuarantineSettings { memory_ms: 600_000, settle_ms: 200 }
     }
 }
 
@@ -36,6 +45,16 @@
 pub struct Fingerprint([u8; 16]);
 
 impl Fingerprint {
+    /// The fingerprint of those bytes.
+    pub fn from_bytes(bytes: [u8; 16]) -> Fingerprint {
+        Fingerprint(bytes)
+    }
+
+    /// Its bytes.
+    pub fn bytes(&self) -> [u8; 16] {
+        self.0
+    }
+
     /// Fingerprint of what an account asks of a target. `content` leaves out ids and times.
     pub fn new(account: &str, target: &str, content: &[u8]) -> Fingerprint {
         let mut hasher = blake3::Hasher::new();
@@ -150,8 +169,7 @@
     pub fn lost(&mut self, endpoint: &Name, running: &[Fingerprint], now_ms: u64) -> u64 {
         for &it in running {
             let suspicion = self.suspicion(it);
-            let at_ms = suspicion.losses.entry(endpoint.clone()).or_insert(0);
-            *at_ms = now_ms.max(*at_ms);
+            raise(suspicion.losses.entry(endpoint.clone()).or_insert(0), now_ms);
             self.changed.push(it);
         }
         now_ms + self.settings.settle_ms
@@ -159,6 +177,9 @@
 
     /// A request ran whole, so earlier losses were another's doing.
     pub fn ran(&mut self, fingerprint: Fingerprint, now_ms: u64) {
+        if !self.suspects(fingerprint, now_ms) {
+            return;
+        }
         if let Some(suspicion) = self.suspicions.get_mut(&fingerprint) {
             suspicion.cleared_ms = suspicion.cleared_ms.max(now_ms);
             self.changed.push(fingerprint);
@@ -180,6 +201,11 @@
         changed.into_iter().filter_map(known).collect()
     }
 
+    /// How long a lost endpoint counts.
+    pub fn memory_ms(&self) -> u64 {
+        self.settings.memory_ms
+    }
+
     /// All that is known, for a peer that is new.
     pub fn snapshot(&self) -> Vec<(Fingerprint, Suspicion)> {
         self.suspicions.iter().map(|(key, it)| (*key, it.clone())).collect()
@@ -221,6 +247,34 @@
 }
 
 impl Suspicion {
+    /// What is known, a text for each finding, as instances pass it on.
+    pub fn findings(&self) -> Vec<Name> {
+        let losses = self.losses.iter().map(|(name, at_ms)| format!("{LOSS} {name} {at_ms}"));
+        let trials = self.trials.iter().map(|(name, at_ms)| format!("{TRIAL} {name} {at_ms}"));
+        let cleared = (self.cleared_ms > 0).then(|| format!("{CLEARED} - {}", self.cleared_ms));
+        losses.chain(cleared).chain(trials).map(Name::from).collect()
+    }
+
+    /// Reads findings, in any order; what cannot be read is passed over.
+    pub fn from_findings(findings: &[Name]) -> Suspicion {
+        let mut suspicion = Suspicion::default();
+        for finding in findings {
+            let mut words = finding.split(' ');
+            let (Some(what), Some(name), Some(at_ms)) = (words.next(), words.next(), words.next())
+            else {
+                continue;
+            };
+            let (Ok(at_ms), name) = (at_ms.parse(), Name::from(name)) else { continue };
+            match what {
+                LOSS => raise(suspicion.losses.entry(name).or_insert(0), at_ms),
+                TRIAL => raise(suspicion.trials.entry(name).or_insert(0), at_ms),
+                CLEARED => raise(&mut suspicion.cleared_ms, at_ms),
+                _ => {}
+            }
+        }
+        suspicion
+    }
+
     /// Endpoints whose loss counts.
     fn counted(&self, since_ms: u64) -> Vec<Name> {
         let since_ms = since_ms.max(self.cleared_ms);
@@ -248,13 +302,15 @@
 
     fn merge(&mut self, theirs: &Suspicion) {
         for (endpoint, at_ms) in &theirs.losses {
-            let ours = self.losses.entry(endpoint.clone()).or_insert(0);
-            *ours = (*ours).max(*at_ms);
+            raise(self.losses.entry(endpoint.clone()).or_insert(0), *at_ms);
         }
         for (instance, at_ms) in &theirs.trials {
-            let ours = self.trials.entry(instance.clone()).or_insert(0);
-            *ours = (*ours).max(*at_ms);
+            raise(self.trials.entry(instance.clone()).or_insert(0), *at_ms);
         }
-        self.cleared_ms = self.cleared_ms.max(theirs.cleared_ms);
+        raise(&mut self.cleared_ms, theirs.cleared_ms);
     }
 }
+
+fn raise(ours: &mut u64, theirs: u64) {
+    *ours = theirs.max(*ours);
+}
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -1,7 +1,7 @@
 //! The fleet's budget of retries.
 
 /// Retries that may be saved up, as seconds of the least rate.
-const LEAST_RATE_SECONDS: f64 = 10.0;
+const LEAST_RATE_SECONDS: f64 = 20.0;
 
 /// Part of the budget that is kept for the most urgent tier.
 const KEPT_FOR_TOP: f64 = 0.5;
@@ -19,7 +19,7 @@
 
 impl Default for RetrySettings {
     fn default() -> RetrySettings {
-        RetrySettings { percent: 10.0, least_rate_per_s: 0.5, limit: 100.0 }
+        RetrySettings { percent: 10.0, least_rate_per_s: 1.0, limit: 100.0 }
     }
 }
 
@@ -37,7 +37,7 @@
 }
 
 impl RetryBudget {
-    /// A budget that begins with ten seconds of the least rate.
+    /// A budget that begins with what is kept of the least rate.
     pub fn new(settings: RetrySettings, now_ms: u64) -> RetryBudget {
         let left = (settings.least_rate_per_s * LEAST_RATE_SECONDS).min(settings.limit);
         RetryBudget { settings, left, paid_ms: now_ms }
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -1,5 +1,7 @@
 //! The policy of one instance as a whole: what to do with each request, and when.
 
+use std::borrow::Cow;
+
 use indexmap::IndexMap;
 
 use crate::{
@@ -34,6 +36,9 @@
 /// Time between two looks at the fleet's pace, in milliseconds.
 const JUDGE_INTERVAL_MS: u64 = 250;
 
+/// How long an endpoint that was sent a suspect gets no other, in milliseconds.
+const TRIAL_ALONE_MS: u64 = 1_000;
+
 /// Blocks of prompts kept, about 100 bytes each.
 const PREFIX_BLOCKS: usize = 40_000;
 
@@ -110,6 +115,8 @@
     pub fingerprint: Fingerprint,
     /// Endpoints that failed it.
     pub avoid: Vec<EndpointIndex>,
+    /// An endpoint was lost with it, and whether by it is being found out.
+    pub is_suspect: bool,
 }
 
 /// How an attempt ended.
@@ -121,6 +128,8 @@
     NotTaken,
     /// By the endpoint's fault: it broke off or gave no proper answer.
     Broke,
+    /// The endpoint went down with it: it broke off and takes no connection since.
+    Lost,
     /// By the endpoint's fault: it was too slow.
     TooSlow,
     /// By no fault of the endpoint.
@@ -171,6 +180,8 @@
     held: Vec<(u64, u64)>,
     running: IndexMap<u64, Running>,
     busy: Busy,
+    /// Endpoints that were sent a suspect, and until when they get no other.
+    trials: Vec<(EndpointIndex, u64)>,
     /// Refusals not yet given out.
     refused: Vec<(u64, Refused)>,
     /// Instances that share the endpoints; at least 1.
@@ -220,6 +231,7 @@
             held: Vec::new(),
             running: IndexMap::new(),
             busy: Busy::default(),
+            trials: Vec::new(),
             refused: Vec::new(),
             instances: 1,
             judged_ms: now_ms,
@@ -242,6 +254,11 @@
         self.instances = instances.max(1);
     }
 
+    /// How many requests each endpoint has from this instance.
+    pub fn own_requests(&self) -> impl Iterator<Item = (&Name, u32)> {
+        self.fleet.endpoints().map(|(_, it)| (&it.name, it.load.own()))
+    }
+
     /// Jobs that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -261,6 +278,11 @@
             self.refuse(&job, Reason::RetryBudget, 0, now_ms, random);
             return;
         }
+        if !self.fleet.serves(&job.target, &job.avoid) {
+            let refused = Refused { reason: Reason::NoEndpoint, retry_after_ms: None };
+            self.refused.push((job.id, refused));
+            return;
+        }
         match self.verdict(job.fingerprint, now_ms) {
             Verdict::Run => self.enqueue(job, now_ms, random),
             Verdict::Try { from_ms } => {
@@ -285,14 +307,16 @@
         if let Some((id, refused)) = self.refused.pop() {
             return Act::Refuse(id, refused);
         }
+        self.trials.retain(|it| it.1 > now_ms);
         let supply = Supply { now_ms, slot_interval_ms: self.slot_interval_ms(now_ms) };
-        let Scheduler { queue, fleet, shares, waiting, predictor, .. } = self;
+        let Scheduler { queue, fleet, shares, waiting, predictor, trials, .. } = self;
         let next = queue.next(supply, shares, |offer, turn| match offer {
             Offer::Any { target, tier_rank } => !fleet.is_closed(target, tier_rank, turn, now_ms),
             Offer::One(entry) => {
                 let job = &waiting[&entry.id];
                 let tokens = tokens_left(predictor, job);
-                fleet.has_room(&request(job, turn, tokens, &[], now_ms), now_ms, random)
+                let avoid = avoided(job, trials);
+                fleet.has_room(&request(job, turn, tokens, &avoid, now_ms), now_ms, random)
             }
         });
         match next {
@@ -336,10 +360,10 @@
         self.shares.charge(&running.job.account, used, now_ms);
         match end {
             End::Answered => self.answered(&running, tokens, now_ms),
-            End::NotTaken | End::TooSlow => {
+            End::NotTaken | End::TooSlow | End::Broke => {
                 self.fleet.failed(running.endpoint, now_ms);
             }
-            End::Broke => return self.broke(&running, now_ms),
+            End::Lost => return self.lost(&running, now_ms),
             End::Released => self.fleet.released(running.endpoint, now_ms),
         }
         now_ms
@@ -362,7 +386,7 @@
         self.predictor.observe(&key, &running.job.prior, total_tokens);
     }
 
-    fn broke(&mut self, running: &Running, now_ms: u64) -> u64 {
+    fn lost(&mut self, running: &Running, now_ms: u64) -> u64 {
         self.fleet.failed(running.endpoint, now_ms);
         self.prefixes.distrust(running.endpoint);
         if !self.settings.switches.quarantine {
@@ -388,7 +412,7 @@
                 Verdict::Run => self.enqueue(job, now_ms, random),
                 Verdict::Try { from_ms } if from_ms <= now_ms => {
                     self.quarantine.began(job.fingerprint);
-                    self.enqueue(job, now_ms, random);
+                    self.enqueue(Job { is_suspect: true, ..job }, now_ms, random);
                 }
                 Verdict::Try { from_ms } => {
                     self.held.push((from_ms, id));
@@ -467,9 +491,9 @@
         } else {
             Vec::new()
         };
-        let choice =
-            self.fleet.choose(&request(&job, turn, tokens, &cached, now_ms), now_ms, random);
-        let endpoint = match choice {
+        let avoid = avoided(&job, &self.trials);
+        let request = Request { cached: &cached, ..request(&job, turn, tokens, &avoid, now_ms) };
+        let endpoint = match self.fleet.choose(&request, now_ms, random) {
             Choice::Send(endpoint) => endpoint,
             Choice::Wait => {
                 self.enqueue(job, now_ms, random);
@@ -480,6 +504,9 @@
             }
         };
         self.fleet.sent(endpoint, now_ms);
+        if job.is_suspect {
+            self.trials.push((endpoint, now_ms + TRIAL_ALONE_MS));
+        }
         self.prefixes.stored(endpoint, &job.prefix);
         self.shares.charge(&job.account, entry.cost_tokens as f64, now_ms);
         let charged_tokens = u64::from(tokens);
@@ -582,11 +609,21 @@
     tokens.saturating_sub(job.delivered_tokens).max(1)
 }
 
+/// Endpoints that a job must not go to: those that failed it, and for a suspect those that have
+/// just been sent another.
+fn avoided<'a>(job: &'a Job, trials: &[(EndpointIndex, u64)]) -> Cow<'a, [EndpointIndex]> {
+    if !job.is_suspect || trials.is_empty() {
+        return Cow::Borrowed(&job.avoid);
+    }
+    let trials = trials.iter().map(|it| it.0);
+    Cow::Owned(job.avoid.iter().copied().chain(trials).collect())
+}
+
 fn request<'a>(
     job: &'a Job,
     turn: Turn,
     output_tokens: u32,
-    cached: &'a [crate::choose::Cached],
+    avoid: &'a [EndpointIndex],
     now_ms: u64,
 ) -> Request<'a> {
     Request {
@@ -598,7 +635,7 @@
         answer_bytes: output_tokens as usize * ANSWER_TOKEN_BYTES,
         waited_ms: now_ms.saturating_sub(job.arrived_ms),
         first_token_ms: job.first_token_ms,
-        cached,
-        avoid: &job.avoid,
+        cached: &[],
+        avoid,
     }
 }
--- a/crates/core/tests/learn.rs
+++ b/crates/core/tests/learn.rs
@@ -100,7 +100,8 @@
 
 #[test]
 fn retries_stay_below_their_part_of_requests() {
-    let mut budget = RetryBudget::new(RetrySettings::default(), 0);
+    let settings = RetrySettings { percent: 10.0, least_rate_per_s: 0.5, limit: 100.0 };
+    let mut budget = RetryBudget::new(settings, 0);
     let mut retried = 0;
     for number in 0..1_000 {
         budget.first_attempt();
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -56,7 +56,7 @@
     let mut b = quarantine("b");
     lose(&mut a, "engine-1", &["culprit"], NOW_MS);
     b.merge(&a.changes());
-    let from_ms = NOW_MS + 10 + 500;
+    let from_ms = NOW_MS + 10 + QuarantineSettings::default().settle_ms;
     assert_eq!(a.ask(fingerprint("culprit"), NOW_MS + 10), Verdict::Try { from_ms });
     assert!(matches!(b.ask(fingerprint("culprit"), NOW_MS + 11), Verdict::Try { .. }));
     let (from_a, from_b) = (a.changes(), b.changes());
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -1,6 +1,6 @@
 //! A request whose answer is delivered whole.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -9,7 +9,7 @@
     body::{Body, Incoming},
     header::{HeaderName, HeaderValue, TRANSFER_ENCODING},
 };
-use serde::de::IgnoredAny;
+use serde::{Deserialize, de::IgnoredAny};
 use tanagergauge_core::{Name, Outcome, Reason, sheet::Kind};
 use tokio::time::timeout;
 
@@ -25,6 +25,19 @@
 /// Longest wait for an endpoint beyond the caller's deadline; the answer still tells what became of it.
 const GRACE: Duration = Duration::from_millis(50);
 
+/// What of a completion is read.
+#[derive(Deserialize)]
+struct ModelAnswer {
+    #[serde(default)]
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    #[serde(default)]
+    completion_tokens: u32,
+}
+
 /// A whole answer of an endpoint.
 #[derive(Clone, Debug)]
 pub struct WholeAnswer {
@@ -34,6 +47,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// Tokens it says it has; 0 if it does not say.
+    pub tokens: u32,
 }
 
 impl WholeAnswer {
@@ -56,14 +71,20 @@
 pub async fn run(shared: &Shared, work: &Work) -> Result<WholeAnswer, Refusal> {
     let mut attempts = Attempts::default();
     loop {
-        let permit = attempts.begin(shared, work).await?;
-        let failure =
-            match one_attempt(shared, work, permit.endpoint.address, attempts.number()).await {
-                Ok(answer) => return Ok(answer),
-                Err(failure) => failure,
-            };
-        note_leaving(shared, &permit.endpoint.name, failure.leaving);
-        match attempts.failed(shared, &permit.endpoint.name, failure, work) {
+        let permit = attempts.begin(shared, work, 0).await?;
+        let endpoint = Arc::clone(&permit.endpoint);
+        let failure = match one_attempt(shared, work, endpoint.address, attempts.number()).await {
+            Ok(answer) => {
+                if answer.status.is_success() {
+                    permit.answered(Some(answer.tokens));
+                }
+                return Ok(answer);
+            }
+            Err(failure) => failure,
+        };
+        note_leaving(shared, &endpoint.name, failure.leaving);
+        permit.failed(failure).await;
+        match attempts.failed(shared, &endpoint.name, failure, work) {
             Next::Retry => {}
             Next::GiveUp(refusal) => return Err(refusal),
         }
@@ -108,10 +129,12 @@
     }
     let body = collect(body, shared.settings.limits.answer_bytes).await?;
     Answer::finish(connection, address, &shared.pool);
-    if work.target.kind == Kind::Model {
-        check_model_answer(head.status, &body)?;
-    }
-    Ok(WholeAnswer { status: head.status, headers: headers::for_caller(&head.headers), body })
+    let tokens = match work.target.kind {
+        Kind::Model => check_model_answer(head.status, &body)?,
+        Kind::Service => 0,
+    };
+    let headers = headers::for_caller(&head.headers);
+    Ok(WholeAnswer { status: head.status, headers, body, tokens })
 }
 
 /// A body that ends where the connection does looks whole wherever it is cut.
@@ -129,13 +152,18 @@
     }
 }
 
-/// An engine's answer is a JSON document, and its own errors are not passed on.
-fn check_model_answer(status: StatusCode, body: &[u8]) -> Result<(), Failure> {
+/// An engine's answer is a JSON document, and its own errors are not passed on. Gives the number
+/// of tokens it says it has.
+fn check_model_answer(status: StatusCode, body: &[u8]) -> Result<u32, Failure> {
     if status.is_server_error() {
         return Err(Failure::after_send(Reason::EndpointBroke));
     }
+    // An answer of another shape is the caller's matter, as long as it is a document.
+    if let Ok(answer) = serde_json::from_slice::<ModelAnswer>(body) {
+        return Ok(answer.usage.map_or(0, |it| it.completion_tokens));
+    }
     match serde_json::from_slice::<IgnoredAny>(body) {
-        Ok(_) => Ok(()),
+        Ok(_) => Ok(0),
         Err(_) => Err(Failure::after_send(Reason::BadAnswer)),
     }
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -3,7 +3,12 @@
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use ractor::{Actor, ActorRef};
-use tanagergauge_core::{Member, MemberState, Name, fact::Fact, gossip::Answer};
+use tanagergauge_core::{
+    Member, MemberState, Name,
+    fact::Fact,
+    gossip::Answer,
+    quarantine::{Fingerprint, Suspicion},
+};
 use tokio::{
     net::TcpListener,
     sync::{oneshot, watch},
@@ -133,6 +138,9 @@
     // It is set once, here.
     let _ = shared.peers.set(peers.clone());
     start_watcher(&shared, &peers, &view, &meters).await?;
+    let message = dispatcher::Message::Fleet(view.clone(), peers.clone());
+    // The actor is gone only when the process stops.
+    let _ = shared.dispatcher.send_message(message);
     let fleet = Fleet { peers, view, rpc, control_address: own };
     let context = ControlContext { trust, meter: Arc::clone(&meters.peers), own };
     let methods = methods(&shared, &fleet, &follower);
@@ -152,7 +160,7 @@
         sheet: shared.view.clone(),
         fleet: view.clone(),
         peers: peers.clone(),
-        on_load: OnLoad(Arc::new(|_, _| ())),
+        on_load: on_load(shared),
         meter: Arc::clone(&meters.endpoints),
         clock: shared.clock,
     };
@@ -193,19 +201,32 @@
     }
 }
 
-/// Tells the dispatcher which endpoints take no new work.
+/// Tells the dispatcher what endpoints report.
+fn on_load(shared: &Arc<Shared>) -> OnLoad {
+    let dispatcher = shared.dispatcher.clone();
+    OnLoad(Arc::new(move |endpoint, report| {
+        // The actor is gone only when the process stops.
+        let _ = dispatcher.send_message(dispatcher::Message::Load(endpoint.clone(), report));
+    }))
+}
+
+/// Tells the dispatcher which endpoints take no new work, and which requests are suspected.
 fn on_news(shared: &Arc<Shared>) -> OnNews {
     let dispatcher = shared.dispatcher.clone();
     OnNews(Arc::new(move |fact| {
-        if let Fact::Endpoint { name, epoch } = fact {
-            let message = if epoch.is_leaving() {
+        let message = match fact {
+            Fact::Endpoint { name, epoch } if epoch.is_leaving() => {
                 dispatcher::Message::Leaving(name.clone())
-            } else {
-                dispatcher::Message::Returned(name.clone())
-            };
-            // The actor is gone only when the process stops.
-            let _ = dispatcher.send_message(message);
-        }
+            }
+            Fact::Endpoint { name, .. } => dispatcher::Message::Returned(name.clone()),
+            Fact::Quarantine { key, quarantine } => dispatcher::Message::Suspicion(
+                Fingerprint::from_bytes(*key),
+                Suspicion::from_findings(&quarantine.findings),
+            ),
+            Fact::Member { .. } => return,
+        };
+        // The actor is gone only when the process stops.
+        let _ = dispatcher.send_message(message);
     }))
 }
 
--- a/crates/daemon/src/fleet_view.rs
+++ b/crates/daemon/src/fleet_view.rs
@@ -26,6 +26,8 @@
     pub endpoint_loads: BTreeMap<Tag, u32>,
     /// Requests running and waiting for each model in other zones.
     pub model_loads: BTreeMap<Name, BTreeMap<Tag, u32>>,
+    /// Requests that other instances of this zone have at endpoints.
+    pub peer_requests: BTreeMap<Tag, u32>,
     /// Tokens each client account used lately at all other instances.
     pub account_use: BTreeMap<Tag, f64>,
 }
@@ -64,6 +66,9 @@
                     Subject::EndpointLoad(tag) if is_own_zone => {
                         self.endpoint_loads.insert(tag, reading.value);
                     }
+                    Subject::OwnRequests(tag) if is_own_zone => {
+                        *self.peer_requests.entry(tag).or_default() += reading.value;
+                    }
                     Subject::AccountUse(tag) if is_own_zone => {
                         *self.account_use.entry(tag).or_default() += amount_of(reading.value);
                     }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -16,7 +16,8 @@
     server::graceful::GracefulShutdown,
 };
 use serde::{Deserialize, Serialize, de::IgnoredAny};
-use tanagergauge_core::{Name, Reason, sheet::Kind};
+use serde_json::value::RawValue;
+use tanagergauge_core::{Name, Reason, prefix::PrefixHashes, quarantine::Fingerprint, sheet::Kind};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
@@ -36,7 +37,7 @@
     shared::{Phase, Shared},
     stream,
     view::{RankedClass, Target, View},
-    work::{Ended, Work},
+    work::{Content, Ended, Work},
 };
 
 /// Largest number of headers of a request.
@@ -57,6 +58,9 @@
     model: Cow<'a, str>,
     #[serde(default)]
     stream: bool,
+    /// The prompt as it stands.
+    #[serde(borrow, default)]
+    messages: Option<&'a RawValue>,
     /// Our own field between instances and endpoints.
     #[serde(default)]
     resume: Option<IgnoredAny>,
@@ -264,8 +268,9 @@
     let target = model_target(&view, &head.model)?;
     let is_stream = head.stream;
     let uri = Uri::from_static(CHAT_PATH);
-    let call = call(parts.method, uri, &parts.headers, body, request_id, &caller);
-    Ok((Work { caller, target, call, arrived_ms }, is_stream))
+    let content = chat_content(&caller, &target, &head);
+    let call = call(parts.method, uri, &parts.headers, body.clone(), request_id, &caller);
+    Ok((Work { caller, target, call, content, arrived_ms }, is_stream))
 }
 
 fn parse_chat(body: &[u8]) -> Result<ChatHead<'_>, Refusal> {
@@ -278,6 +283,15 @@
     Ok(head)
 }
 
+fn chat_content(caller: &Caller, target: &Target, head: &ChatHead<'_>) -> Content {
+    let prompt = head.messages.map_or("", RawValue::get).as_bytes();
+    Content {
+        is_stream: head.stream,
+        prefix: PrefixHashes::new(&target.name, prompt),
+        fingerprint: Fingerprint::new(&caller.account, &target.name, prompt),
+    }
+}
+
 fn model_target(view: &View, asked: &str) -> Result<Target, Refusal> {
     let name = view.model(asked).ok_or_else(|| {
         Refusal::not_run(Reason::UnknownTarget, format!("the sheet has no model `{asked}`"))
@@ -297,8 +311,10 @@
     let (target, uri) = service_target(&view, request.uri())?;
     let (parts, body) = request.into_parts();
     let body = read_body(shared, body).await?;
+    let fingerprint = Fingerprint::new(&caller.account, uri.path(), &body);
+    let content = Content { is_stream: false, prefix: PrefixHashes::default(), fingerprint };
     let call = call(parts.method, uri, &parts.headers, body, request_id, &caller);
-    Ok(Work { caller, target, call, arrived_ms })
+    Ok(Work { caller, target, call, content, arrived_ms })
 }
 
 /// Splits `/services/NAME/PATH?QUERY` into the service and what it is asked.
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use ractor::Actor;
+use ractor::{Actor, ActorRef};
 use tanagergauge_core::MemberState;
 use tokio::{
     net::TcpListener,
@@ -18,7 +18,7 @@
 use crate::{
     clock::Clock,
     counters,
-    dispatcher::Dispatcher,
+    dispatcher::{self, Dispatcher},
     fleet::{self, Fleet, Meters},
     follower::{self, Follower},
     front,
@@ -81,10 +81,10 @@
         listener.local_addr().map_err(|error| StartError::Listen(settings.listen, error))?;
     let (view_sender, view) = watch::channel(None);
     let (phase_sender, phase) = watch::channel(Phase::Serving);
-    let (dispatcher, _) =
-        Actor::spawn(None, Dispatcher, ()).await.map_err(|_| StartError::Part("dispatcher"))?;
+    let clock = Clock::start();
+    let dispatcher = start_dispatcher(&settings, clock).await?;
     let shared = Arc::new(Shared {
-        clock: Clock::start(),
+        clock,
         pool: Pool::default(),
         view,
         dispatcher,
@@ -134,6 +134,20 @@
     }
 }
 
+async fn start_dispatcher(
+    settings: &Settings,
+    clock: Clock,
+) -> Result<ActorRef<dispatcher::Message>, StartError> {
+    let arguments = dispatcher::Arguments {
+        instance: settings.instance.clone(),
+        availability_zone: settings.availability_zone.clone(),
+        policy: settings.policy,
+        clock,
+    };
+    let started = Actor::spawn(None, Dispatcher, arguments).await;
+    started.map(|(it, _)| it).map_err(|_| StartError::Part("dispatcher"))
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(|error| StartError::Listen(address, error))
 }
--- /dev/null
+++ b/crates/daemon/src/policy.rs
@@ -0,0 +1,104 @@
+//! Settings of the policy: what is weighed, and which mechanisms are switched on.
+
+use serde::Deserialize;
+use tanagergauge_core::{
+    fleet::{FleetSettings, Routing},
+    queue::QueueSettings,
+    scheduler::{SchedulerSettings, Switches},
+    sheet::Goal,
+};
+
+/// Part of the first-token target that a request waits for its own region, in percent, where
+/// attainment goes first.
+const ATTAINMENT_PATIENCE_PERCENT: u64 = 20;
+
+/// The same where goodput and paid traffic go first.
+const GOODPUT_PATIENCE_PERCENT: u64 = 60;
+
+/// In which order what waits is sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Queueing {
+    /// By tier, floor, share and arrival.
+    #[default]
+    Full,
+    /// By tier and arrival.
+    Tiers,
+    /// By arrival.
+    Fifo,
+}
+
+/// Settings of the policy. All mechanisms are on unless switched off to measure them.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PolicySettings {
+    /// How endpoints are chosen.
+    pub routing: Routing,
+    /// In which order what waits is sent.
+    pub queueing: Queueing,
+    /// Refuse what cannot be in time.
+    pub admission: bool,
+    /// Follow prompts' prefixes.
+    pub prefixes: bool,
+    /// Bound the retries.
+    pub retry_budget: bool,
+    /// Quarantine what crashes endpoints.
+    pub quarantine: bool,
+    /// Most bytes of bodies that wait.
+    pub queue_bytes: usize,
+    /// Most requests that wait.
+    pub queue_entries: usize,
+    /// A class that waits this long without a dispatch gets one out of turn, in milliseconds.
+    pub floor_window_ms: u64,
+    /// Part of an endpoint's slots kept free of lower tiers while a higher has demand, in percent.
+    pub reserve_percent: u32,
+}
+
+impl Default for PolicySettings {
+    fn default() -> PolicySettings {
+        let queue = QueueSettings::default();
+        PolicySettings {
+            routing: Routing::Full,
+            queueing: Queueing::Full,
+            admission: true,
+            prefixes: true,
+            retry_budget: true,
+            quarantine: true,
+            queue_bytes: queue.max_bytes,
+            queue_entries: queue.max_entries,
+            floor_window_ms: queue.floor_window_ms,
+            reserve_percent: FleetSettings::default().reserve_percent,
+        }
+    }
+}
+
+impl PolicySettings {
+    /// The same for the core, for a deployment with that goal.
+    pub fn scheduler(&self, goal: Goal) -> SchedulerSettings {
+        let queue = QueueSettings {
+            max_bytes: self.queue_bytes,
+            max_entries: self.queue_entries,
+            floor_window_ms: self.floor_window_ms,
+            tiers: self.queueing != Queueing::Fifo,
+            shares: self.queueing == Queueing::Full,
+            floors: self.queueing == Queueing::Full,
+        };
+        let patience_percent = match goal {
+            Goal::Attainment => ATTAINMENT_PATIENCE_PERCENT,
+            Goal::Goodput => GOODPUT_PATIENCE_PERCENT,
+        };
+        let fleet = FleetSettings {
+            routing: self.routing,
+            reserve_percent: self.reserve_percent,
+            patience_percent,
+            ..FleetSettings::default()
+        };
+        let switches = Switches {
+            admission: self.admission,
+            prefixes: self.prefixes,
+            retry_budget: self.retry_budget,
+            quarantine: self.quarantine,
+        };
+        SchedulerSettings { queue, fleet, switches, ..SchedulerSettings::default() }
+    }
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,6 +14,8 @@
     finding::{Findings, Path},
 };
 
+use crate::policy::PolicySettings;
+
 /// Smallest head that the HTTP library can be told to accept, in bytes.
 const MIN_HEAD_BYTES: usize = 8192;
 
@@ -44,6 +46,9 @@
     /// Bounds on what callers may send.
     #[serde(default)]
     pub limits: Limits,
+    /// The policy under load.
+    #[serde(default)]
+    pub policy: PolicySettings,
     /// How a planned stop goes.
     #[serde(default)]
     pub stop: StopSettings,
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -20,9 +20,9 @@
     body::{AnswerBody, Chunk as BodyChunk},
     chunk::Chunk,
     counters,
-    dispatcher::Permit,
     exchange::{self, WholeAnswer},
     headers,
+    permit::Permit,
     pool::Connection,
     refusal::Refusal,
     shared::Shared,
@@ -85,6 +85,17 @@
     Failed(Refusal),
 }
 
+/// An answer that is a stream, of which nothing was read yet.
+struct OpenStream {
+    response: Response<Incoming>,
+    connection: Connection,
+}
+
+enum Opened {
+    Stream(OpenStream),
+    Whole(WholeAnswer),
+}
+
 enum Begun {
     Source(Source),
     Whole(WholeAnswer),
@@ -217,9 +228,7 @@
                 }
                 Step::Broken(failure) => failure,
             };
-            let endpoint = source.permit.endpoint.name.clone();
-            drop(source);
-            if let Next::GiveUp(refusal) = self.failed(&endpoint, failure) {
+            if let Next::GiveUp(refusal) = self.failed(source.close(), failure).await {
                 return Relayed::Failed(refusal);
             }
         }
@@ -234,9 +243,11 @@
         idle.min(self.work.time_left(self.shared.clock.now_ms()))
     }
 
-    fn failed(&mut self, endpoint: &Name, failure: Failure) -> Next {
-        exchange::note_leaving(&self.shared, endpoint, failure.leaving);
-        let next = self.attempts.failed(&self.shared, endpoint, failure, &self.work);
+    async fn failed(&mut self, permit: Permit, failure: Failure) -> Next {
+        let endpoint = permit.endpoint.name.clone();
+        exchange::note_leaving(&self.shared, &endpoint, failure.leaving);
+        permit.failed(failure).await;
+        let next = self.attempts.failed(&self.shared, &endpoint, failure, &self.work);
         match next {
             Next::Retry if self.delivered.opaque => Next::GiveUp(Refusal::unknown(
                 failure.reason,
@@ -248,19 +259,22 @@
 
     async fn open(&mut self) -> Result<Begun, Refusal> {
         loop {
-            let permit = self.attempts.begin(&self.shared, &self.work).await?;
-            let endpoint = permit.endpoint.name.clone();
-            let failure = match self.attempt(permit).await {
-                Ok(begun) => return Ok(begun),
+            let delivered = self.delivered.tokens;
+            let permit = self.attempts.begin(&self.shared, &self.work, delivered).await?;
+            let failure = match self.attempt(&permit).await {
+                Ok(Opened::Stream(stream)) => {
+                    return Ok(Begun::Source(self.source(permit, stream)));
+                }
+                Ok(Opened::Whole(whole)) => return Ok(Begun::Whole(whole)),
                 Err(failure) => failure,
             };
-            if let Next::GiveUp(refusal) = self.failed(&endpoint, failure) {
+            if let Next::GiveUp(refusal) = self.failed(permit, failure).await {
                 return Err(refusal);
             }
         }
     }
 
-    async fn attempt(&mut self, permit: Permit) -> Result<Begun, Failure> {
+    async fn attempt(&self, permit: &Permit) -> Result<Opened, Failure> {
         let mut call = self.work.call.clone();
         if self.delivered.tokens > 0 {
             call.body = resume_body(&call.body, &self.delivered)?;
@@ -278,16 +292,20 @@
             return Err(Failure::after_send(Reason::WrongAnswer));
         }
         let (response, connection, _) = answer.into_parts();
-        let (head, body) = response.into_parts();
-        Ok(Begun::Source(Source {
+        Ok(Opened::Stream(OpenStream { response, connection }))
+    }
+
+    fn source(&self, permit: Permit, stream: OpenStream) -> Source {
+        let (head, body) = stream.response.into_parts();
+        Source {
             permit,
-            connection,
+            connection: stream.connection,
             body,
             splitter: Splitter::default(),
             headers: headers::for_caller(&head.headers),
             id: None,
             is_resumed: self.delivered.any,
-        }))
+        }
     }
 
     /// Whether the endpoint goes on exactly after what was delivered.
@@ -347,6 +365,9 @@
         match sse::meaning(&bytes) {
             Meaning::Chunk(chunk) if !self.is_ours(&chunk) => Some(broken(Reason::WrongAnswer)),
             Meaning::Chunk(chunk) => {
+                if !chunk.text.is_empty() {
+                    self.permit.token();
+                }
                 let passes = delivered.accept(&chunk, self.is_resumed);
                 passes.then_some(Step::Chunk(bytes))
             }
@@ -364,13 +385,21 @@
         self.id.get_or_insert_with(|| Name::from(id.as_ref())).as_str() == id
     }
 
+    /// Closes the connection, which cancels the request.
+    fn close(self) -> Permit {
+        drop((self.body, self.connection));
+        self.permit
+    }
+
     /// Reads what follows the last event, so that the connection can be used again.
     fn finish(mut self, shared: &Arc<Shared>) {
         let shared = Arc::clone(shared);
+        let address = self.permit.endpoint.address;
+        self.permit.answered(None);
         tokio::spawn(async move {
             let rest = timeout(TRAILER_TIMEOUT, self.body.frame()).await;
             if matches!(rest, Ok(None)) {
-                Answer::finish(self.connection, self.permit.endpoint.address, &shared.pool);
+                Answer::finish(self.connection, address, &shared.pool);
             }
         });
     }
@@ -398,11 +427,11 @@
 }
 
 /// An endpoint may refuse a stream with a document, but not answer with one.
-fn not_a_stream(whole: WholeAnswer) -> Result<Begun, Failure> {
+fn not_a_stream(whole: WholeAnswer) -> Result<Opened, Failure> {
     if whole.status.is_success() {
         return Err(Failure::after_send(Reason::BadAnswer));
     }
-    Ok(Begun::Whole(whole))
+    Ok(Opened::Whole(whole))
 }
 
 /// The caller's body with what was delivered as one more field.
--- a/crates/daemon/src/work.rs
+++ b/crates/daemon/src/work.rs
@@ -1,15 +1,16 @@
 //! A request on its way through the instance: what to send, and what happened so far.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use tanagergauge_core::{Name, Outcome, Reason};
+use tanagergauge_core::{Name, Outcome, Reason, prefix::PrefixHashes, quarantine::Fingerprint};
 
 use crate::{
     attempt::{Call, Failure, Ran},
     caller::Caller,
     counters,
-    dispatcher::{self, Ask, Permit},
+    dispatcher::{self, Ask},
     journal::{Event, EventKind},
+    permit::Permit,
     refusal::Refusal,
     shared::Shared,
     view::Target,
@@ -24,10 +25,23 @@
     pub target: Target,
     /// What is sent to endpoints.
     pub call: Call,
+    /// What the policy knows it by.
+    pub content: Content,
     /// When it arrived, by the instance's monotonic clock, in milliseconds.
     pub arrived_ms: u64,
 }
 
+/// What the policy knows a request by.
+#[derive(Clone, Debug)]
+pub struct Content {
+    /// Whether the answer is to be streamed.
+    pub is_stream: bool,
+    /// Prefixes of its prompt.
+    pub prefix: PrefixHashes,
+    /// The same for the same content of the same account.
+    pub fingerprint: Fingerprint,
+}
+
 /// The attempts of one request so far.
 #[derive(Debug, Default)]
 pub struct Attempts {
@@ -99,17 +113,17 @@
         self.number
     }
 
-    /// Waits for leave to make the next attempt.
+    /// Waits for leave to make the next attempt; earlier ones have delivered so many tokens.
     ///
     /// # Errors
     /// The refusal the caller is told, true of all attempts so far.
-    pub async fn begin(&mut self, shared: &Shared, work: &Work) -> Result<Permit, Refusal> {
-        let ask = Ask {
-            request_id: work.call.request_id.clone(),
-            target: work.target.clone(),
-            rank: work.caller.class.rank,
-            excluded: self.failed.clone(),
-        };
+    pub async fn begin(
+        &mut self,
+        shared: &Shared,
+        work: &Work,
+        delivered_tokens: u64,
+    ) -> Result<Permit, Refusal> {
+        let ask = self.ask(work, delivered_tokens);
         let acquire = dispatcher::acquire(&shared.dispatcher, ask);
         let left = work.time_left(shared.clock.now_ms());
         let acquired = match tokio::time::timeout(left, acquire).await {
@@ -132,6 +146,23 @@
         }
     }
 
+    fn ask(&self, work: &Work, delivered_tokens: u64) -> Ask {
+        Ask {
+            attempt: self.number + 1,
+            target: work.target.clone(),
+            class: Arc::clone(&work.caller.class),
+            account: work.caller.account.clone(),
+            bytes: work.call.body.len(),
+            arrived_ms: work.arrived_ms,
+            deadline_at_ms: work.deadline_at_ms(),
+            delivered_tokens: u32::try_from(delivered_tokens).unwrap_or(u32::MAX),
+            is_stream: work.content.is_stream,
+            prefix: work.content.prefix.clone(),
+            fingerprint: work.content.fingerprint,
+            excluded: self.failed.clone(),
+        }
+    }
+
     /// Takes note of a failed attempt and says what to do next.
     pub fn failed(
         &mut self,
--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -24,6 +24,8 @@
         engines: vec![EngineSettings::default(); engines],
         services,
         limits: format!("stream_idle_ms: {STREAM_IDLE_MS}"),
+        // So that every engine has its turn, and every failure its retry.
+        more: "policy: { routing: round-robin, retry_budget: false }".to_owned(),
         ..FleetOptions::default()
     };
     Fleet::start(BINARY, options).await.unwrap()
