Show each outcome test failing without its mechanism

Cause: a test that passes with its mechanism removed shows nothing. The test of a cancelled run passed with its mechanism off, since the class's deadline ended the run in time; its deadline is now ten minutes.

Not shown this way: a_late_answer_reaches_nobody_else. Two layers hold it (a connection that timed out is not kept, and the echo), so that one change does not break it.

--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -328,7 +328,7 @@
 #[tokio::test]
 async fn a_run_whose_caller_left_is_cancelled() {
     let fleet = fleet(1, 1).await;
-    let long = Call::chat(DEFERRED_CLASS, "act one").max_tokens(1_000_000);
+    let long = Call::chat(DEFERRED_CLASS, "act one").max_tokens(1_000_000).deadline_ms(600_000);
     for call in [long.clone(), long.stream()] {
         let runs = engine_runs(&fleet).len();
         let address = fleet.instances[0].address();
