--- a/crates/tool/src/cli.rs
+++ b/crates/tool/src/cli.rs
@@ -33,6 +33,20 @@
                 .help("How results are printed"),
         )
         .subcommand(sheet_command())
+        .subcommand(operate_command("status", "Show what an instance does and knows of the fleet"))
+        .subcommand(
+            operate_command("events", "Show the latest decisions of an instance").arg(
+                Arg::new("limit")
+                    .long("limit")
+                    .value_parser(value_parser!(u32))
+                    .default_value("50")
+                    .help("How many at most"),
+            ),
+        )
+        .subcommand(
+            operate_command("explain", "Show what the fleet decided for a request, and why")
+                .arg(Arg::new("request-id").required(true).value_name("REQUEST-ID")),
+        )
         .subcommand(try_command())
         .subcommand(load_command())
         .subcommand(bench_command())
@@ -86,6 +100,29 @@
         )
 }
 
+fn operate_command(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .arg(
+            Arg::new("control")
+                .long("control")
+                .value_name("ADDRESS")
+                .required(true)
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(SocketAddr))
+                .help("Control address of an instance; the next one is asked if it is silent"),
+        )
+        .arg(
+            Arg::new("keys")
+                .long("keys")
+                .value_name("FILE")
+                .required(true)
+                .value_hint(ValueHint::FilePath)
+                .value_parser(value_parser!(PathBuf))
+                .help("File of the keys that instances and operators share"),
+        )
+}
+
 fn try_command() -> Command {
     Command::new("try")
         .about("Bring up a whole deployment in this process and send a request of each class")
--- a/crates/tool/src/main.rs
+++ b/crates/tool/src/main.rs
@@ -8,6 +8,7 @@
 mod failure;
 mod load;
 mod log;
+mod operate;
 mod output;
 mod plan;
 mod profile;
--- a/crates/tool/src/plan.rs
+++ b/crates/tool/src/plan.rs
@@ -48,6 +48,8 @@
 pub(crate) struct Entry {
     /// Address for callers.
     pub(crate) address: SocketAddr,
+    /// Address for operators, if known.
+    pub(crate) control: Option<SocketAddr>,
     /// Its availability zone; empty if that is not known.
     pub(crate) zone: Name,
 }
@@ -149,6 +151,9 @@
 
     fn burst(&mut self, index: usize, planned: &mut Vec<Planned>) {
         let burst = &self.profile.bursts[index];
+        if burst.at_ms >= self.profile.duration_ms {
+            return;
+        }
         let mut part = self.profile.part(&burst.class);
         if !burst.accounts.is_empty() {
             part.accounts = burst.accounts.clone();
--- a/crates/tool/src/program.rs
+++ b/crates/tool/src/program.rs
@@ -11,6 +11,7 @@
     cli::{self, PROGRAM, millis, option, value},
     failure::Failure,
     load::{self, LoadOptions},
+    operate::{self, OperateOptions},
     output::read,
     plan::Entry,
     profile::Profile,
@@ -42,6 +43,14 @@
 async fn dispatch(matches: &ArgMatches) -> Result<(), Failure> {
     match matches.subcommand() {
         Some(("sheet", matches)) => sheet_job(matches).await,
+        Some(("status", matches)) => operate::status(operate_options(matches)).await,
+        Some(("events", matches)) => {
+            operate::events(operate_options(matches), value(matches, "limit")).await
+        }
+        Some(("explain", matches)) => {
+            let request_id = Name::from(value::<String>(matches, "request-id"));
+            operate::explain(operate_options(matches), request_id).await
+        }
         Some(("try", matches)) => trial::run(trial_options(matches)?).await,
         Some(("load", matches)) => load::run(load_options(matches)?).await,
         Some(("bench", matches)) => bench::run(bench_options(matches)).await,
@@ -80,6 +89,15 @@
     }
 }
 
+fn operate_options(matches: &ArgMatches) -> OperateOptions {
+    let control = matches.get_many::<SocketAddr>("control").unwrap_or_default();
+    OperateOptions {
+        control: control.copied().collect(),
+        keys: value(matches, "keys"),
+        output: cli::output(matches),
+    }
+}
+
 fn trial_options(matches: &ArgMatches) -> Result<TrialOptions, Failure> {
     let sheet = match option::<PathBuf>(matches, "sheet") {
         Some(path) => sheet::load(&path)?.sheet,
@@ -133,7 +151,7 @@
     let address: SocketAddr = address
         .parse()
         .map_err(|_| Failure::Usage(format!("`{address}` is no IP number with a port")))?;
-    Ok(Entry { address, zone: Name::from(zone) })
+    Ok(Entry { address, control: None, zone: Name::from(zone) })
 }
 
 fn bench_options(matches: &ArgMatches) -> BenchOptions {
--- a/crates/tool/src/stage.rs
+++ b/crates/tool/src/stage.rs
@@ -2,11 +2,12 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
-    path::Path,
+    path::{Path, PathBuf},
     sync::Arc,
     time::Duration,
 };
 
+use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use hyper::Method;
 use tanagergauge_core::{
@@ -15,7 +16,11 @@
     sheet::{Endpoint, Kind, Sheet},
 };
 use tanagergauge_daemon::{Running, Settings};
-use tanagergauge_standins::{Engine, EngineSettings, Leaving, Platform, PlatformSettings, Service};
+use tanagergauge_standins::{
+    Engine, EngineSettings, Leaving, Platform, PlatformSettings, Service,
+    platform::{Entry as ListEntry, EntryKind, EntryState},
+};
+use tempfile::TempDir;
 use uuid::Uuid;
 
 use crate::{
@@ -26,6 +31,12 @@
     profile::{Change, Pace, What},
 };
 
+/// Length of a key's secret.
+const SECRET_BYTES: usize = 32;
+
+/// The end of a key's life, long after that of the deployment.
+const NEVER_UNIX_MS: u64 = 1 << 52;
+
 /// Pause between looks whether an instance is ready.
 const READY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -53,9 +64,13 @@
     pub(crate) engines: Vec<StagedEngine>,
     /// Where callers send requests.
     pub(crate) entries: Vec<Entry>,
+    /// The file of the keys that its instances share.
+    pub(crate) keys: PathBuf,
     platform: Platform,
     instances: Vec<Running>,
     _services: Vec<Service>,
+    /// Holds the keys.
+    _directory: TempDir,
 }
 
 impl Stage {
@@ -76,8 +91,19 @@
         }
         let platform = Platform::start(PlatformSettings::default()).await.map_err(no_port)?;
         platform.append(SHEETS_STREAM, first_publication(&sheet)?);
-        let (entries, instances) = (Vec::new(), Vec::new());
-        Ok(Stage { sheet, engines, entries, platform, instances, _services: services })
+        let directory = tempfile::tempdir().map_err(|it| Failure::Refused(it.to_string()))?;
+        let keys = directory.path().join("keys.yaml");
+        write(&keys, &key_file())?;
+        Ok(Stage {
+            sheet,
+            engines,
+            entries: Vec::new(),
+            keys,
+            platform,
+            instances: Vec::new(),
+            _services: services,
+            _directory: directory,
+        })
     }
 
     /// Starts instances in this process, by turns in each availability zone, and waits
@@ -94,12 +120,14 @@
         for i in 0..count {
             let zone = self.zone(i);
             let listen = if i == 0 { listen } else { loopback() };
-            let settings = parse_settings(&self.settings(i, &zone, listen))?;
+            let control = free_address()?;
+            let settings = parse_settings(&self.settings(i, &zone, listen, control))?;
             let running = tanagergauge_daemon::start(settings).await;
             let running = running.map_err(|it| Failure::Refused(it.to_string()))?;
-            self.entries.push(Entry { address: running.address, zone });
+            self.entries.push(Entry { address: running.address, control: Some(control), zone });
             self.instances.push(running);
         }
+        self.list();
         self.wait_until_ready(READY_TIMEOUT).await
     }
 
@@ -114,14 +142,17 @@
         count: usize,
         directory: &Path,
     ) -> Result<(), Failure> {
+        self.keys = directory.join("keys.yaml");
+        write(&self.keys, &key_file())?;
         for i in 0..count {
             let zone = self.zone(i);
-            let address = free_address()?;
+            let (address, control) = (free_address()?, free_address()?);
             let path = directory.join(format!("instance-{i}.yaml"));
-            write(&path, &self.settings(i, &zone, address))?;
+            write(&path, &self.settings(i, &zone, address, control))?;
             eprintln!("waiting for: tanagergauged {}", path.display());
-            self.entries.push(Entry { address, zone });
+            self.entries.push(Entry { address, control: Some(control), zone });
         }
+        self.list();
         self.wait_until_ready(START_TIMEOUT).await
     }
 
@@ -133,6 +164,19 @@
         Ok(())
     }
 
+    /// Puts the instances on the platform's list.
+    fn list(&self) {
+        let listed = self.entries.iter().enumerate().map(|(i, entry)| ListEntry {
+            name: instance_name(i, &entry.zone),
+            kind: EntryKind::Instance,
+            address: entry.address,
+            control_address: entry.control,
+            availability_zone: entry.zone.to_string(),
+            state: EntryState::Live,
+        });
+        self.platform.set_entries(listed.collect());
+    }
+
     /// The availability zone of the instance of that number.
     fn zone(&self, i: usize) -> Name {
         let zones = &self.sheet.availability_zones;
@@ -163,17 +207,38 @@
         }
     }
 
-    fn settings(&self, i: usize, zone: &Name, listen: SocketAddr) -> String {
+    fn settings(&self, i: usize, zone: &Name, listen: SocketAddr, control: SocketAddr) -> String {
         let platform = self.platform.address();
+        let peers: Vec<String> =
+            self.entries.iter().filter_map(|it| it.control).map(|it| format!("\"{it}\"")).collect();
         format!(
-            "instance: {zone}-{i}\navailability_zone: {zone}\nlisten: {listen}\n\
-             control_listen: {}\nplatform: {{ log: {platform}, list: {platform} }}\n\
-             log: warn\n",
-            loopback(),
+            "instance: {}\navailability_zone: {zone}\nlisten: {listen}\n\
+             control_listen: {control}\nkeys: {}\npeers: [{}]\n\
+             platform: {{ log: {platform}, list: {platform} }}\nlog: warn\n",
+            instance_name(i, zone),
+            self.keys.display(),
+            peers.join(", "),
         )
     }
 }
 
+fn instance_name(i: usize, zone: &Name) -> String {
+    format!("{zone}-instance-{i}")
+}
+
+/// A file of new keys: one for instances and one for operators.
+fn key_file() -> String {
+    let secret = || STANDARD.encode(rand::random::<[u8; SECRET_BYTES]>());
+    let key = |id: &str, rights: &str| {
+        format!(
+            "  - id: {id}\n    rights: {rights}\n    not_after_unix_ms: {NEVER_UNIX_MS}\n    \
+             secret_base64: {}\n",
+            secret()
+        )
+    };
+    format!("keys:\n{}{}", key("fleet", "peer"), key("operators", "read"))
+}
+
 fn parse_settings(text: &str) -> Result<Settings, Failure> {
     Settings::parse(text).map_err(|findings| {
         eprint!("{}", findings.report("settings", text));
--- a/crates/tool/src/trial.rs
+++ b/crates/tool/src/trial.rs
@@ -184,12 +184,16 @@
         println!(
             "\nStill up; Ctrl-C ends it. To go on by hand:\n\n  \
              curl -N http://{address}{} \\\n    -H 'Authorization: Bearer {}' \\\n    \
-             -H 'X-Service-Class: {}' \\\n    -d '{}'\n\n\
-             The stand-in platform is at {}.",
+             -H 'X-Service-Class: {}' \\\n    -d '{}'\n\n  \
+             tanagergauge explain {} --control {} --keys {}\n  \
+             tanagergauge sheet show --platform {}",
             call.path,
             call.token,
             call.class,
             String::from_utf8_lossy(&call.body),
+            call.request_id,
+            stage.entries[0].control.unwrap_or(address),
+            stage.keys.display(),
             stage.platform(),
         );
     }
