--- a/crates/tool/src/bench.rs
+++ b/crates/tool/src/bench.rs
@@ -133,7 +133,7 @@
             service_ms: 0,
             ..Pace::default()
         };
-        let mut stage = Stage::raise(sheet, pace).await?;
+        let mut stage = Stage::raise(sheet, pace, String::new()).await?;
         match &options.settings {
             None => stage.start_instances(1, loopback()).await?,
             Some(directory) => stage.await_instances(1, directory).await?,
--- a/crates/tool/src/cli.rs
+++ b/crates/tool/src/cli.rs
@@ -44,8 +44,12 @@
             ),
         )
         .subcommand(
-            operate_command("explain", "Show what the fleet decided for a request, and why")
-                .arg(Arg::new("request-id").required(true).value_name("REQUEST-ID")),
+            operate_command("explain", "Show what the fleet decided for a request, and why").arg(
+                Arg::new("request-id")
+                    .required(true)
+                    .value_name("REQUEST-ID")
+                    .help("Its `X-Request-Id`"),
+            ),
         )
         .subcommand(try_command())
         .subcommand(load_command())
@@ -171,6 +175,10 @@
                 .help("Start N instances and the sheet's endpoints as stand-ins in this process"),
         )
         .arg(settings_arg().requires("local"))
+        .arg(
+            file("more-settings", "YAML lines that each instance's settings end with")
+                .requires("local"),
+        )
         .arg(
             Arg::new("instance")
                 .long("instance")
--- a/crates/tool/src/load.rs
+++ b/crates/tool/src/load.rs
@@ -33,6 +33,8 @@
     pub(crate) local: usize,
     /// Where settings for the instances go, if others start them.
     pub(crate) settings: Option<PathBuf>,
+    /// YAML lines that each instance's settings end with.
+    pub(crate) more_settings: String,
     /// Instances that run already.
     pub(crate) entries: Vec<Entry>,
     /// Rate as a multiple of the capacity; absent where the profile gives a rate.
@@ -66,7 +68,8 @@
     if options.local == 0 {
         return Ok(None);
     }
-    let mut stage = Stage::raise(options.sheet.clone(), options.profile.engine).await?;
+    let (sheet, pace) = (options.sheet.clone(), options.profile.engine);
+    let mut stage = Stage::raise(sheet, pace, options.more_settings.clone()).await?;
     match &options.settings {
         None => stage.start_instances(options.local, loopback()).await?,
         Some(directory) => stage.await_instances(options.local, directory).await?,
--- a/crates/tool/src/program.rs
+++ b/crates/tool/src/program.rs
@@ -127,6 +127,10 @@
         profile,
         local: option(matches, "local").unwrap_or(0),
         settings: option(matches, "settings"),
+        more_settings: match option::<PathBuf>(matches, "more-settings") {
+            Some(path) => read(&path)?,
+            None => String::new(),
+        },
         entries: entries?,
         times_capacity: option(matches, "times-capacity"),
         output: cli::output(matches),
--- a/crates/tool/src/stage.rs
+++ b/crates/tool/src/stage.rs
@@ -66,6 +66,8 @@
     pub(crate) entries: Vec<Entry>,
     /// The file of the keys that its instances share.
     pub(crate) keys: PathBuf,
+    /// YAML lines that each instance's settings end with.
+    more_settings: String,
     platform: Platform,
     instances: Vec<Running>,
     _services: Vec<Service>,
@@ -80,7 +82,11 @@
     /// # Errors
     ///
     /// A port cannot be had.
-    pub(crate) async fn raise(mut sheet: Sheet, pace: Pace) -> Result<Stage, Failure> {
+    pub(crate) async fn raise(
+        mut sheet: Sheet,
+        pace: Pace,
+        more_settings: String,
+    ) -> Result<Stage, Failure> {
         let mut engines = Vec::new();
         let mut services = Vec::new();
         for endpoint in &mut sheet.endpoints {
@@ -99,6 +105,7 @@
             engines,
             entries: Vec::new(),
             keys,
+            more_settings,
             platform,
             instances: Vec::new(),
             _services: services,
@@ -214,10 +221,11 @@
         format!(
             "instance: {}\navailability_zone: {zone}\nlisten: {listen}\n\
              control_listen: {control}\nkeys: {}\npeers: [{}]\n\
-             platform: {{ log: {platform}, list: {platform} }}\nlog: warn\n",
+             platform: {{ log: {platform}, list: {platform} }}\nlog: warn\n{}",
             instance_name(i, zone),
             self.keys.display(),
             peers.join(", "),
+            self.more_settings,
         )
     }
 }
--- a/crates/tool/src/trial.rs
+++ b/crates/tool/src/trial.rs
@@ -60,7 +60,7 @@
 /// The deployment does not come up, or a request was not answered.
 pub(crate) async fn run(options: TrialOptions) -> Result<(), Failure> {
     let pace = Pace { decode_tokens_per_s: 40.0, ..Pace::default() };
-    let mut stage = Stage::raise(options.sheet, pace).await?;
+    let mut stage = Stage::raise(options.sheet, pace, String::new()).await?;
     stage.start_instances(INSTANCES, options.listen).await?;
     let address = stage.entries[0].address;
     eprintln!(
