--- /dev/null
+++ b/crates/tool/tests/docs.rs
@@ -0,0 +1,81 @@
+//! The pages keep up with the code.
+
+use std::{collections::BTreeSet, fs, path::PathBuf};
+
+use strum::IntoEnumIterator;
+use tanagergauge_core::Reason;
+
+fn file(path: &str) -> String {
+    let root = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."));
+    fs::read_to_string(root.join(path)).unwrap_or_else(|error| panic!("{path}: {error}"))
+}
+
+fn assert_names(page: &str, names: impl Iterator<Item = String>) {
+    let text = file(page);
+    let missing: Vec<String> = names.filter(|it| !text.contains(&format!("`{it}`"))).collect();
+    assert!(missing.is_empty(), "{page} does not name {missing:?}");
+}
+
+/// The text between quotes that begins with `prefix`, wherever it stands in the daemon.
+fn literals(prefix: &str) -> BTreeSet<String> {
+    let sources = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../daemon/src"));
+    let entries = fs::read_dir(sources).expect("the sources can be read");
+    let mut found = BTreeSet::new();
+    for entry in entries {
+        let path = entry.expect("the entry can be read").path();
+        let text = fs::read_to_string(path).expect("the source can be read");
+        found.extend(text.split('"').filter(|it| it.starts_with(prefix)).map(str::to_owned));
+    }
+    found
+}
+
+#[test]
+fn every_reason_is_explained() {
+    assert_names("docs/OPERATIONS.md", Reason::iter().map(|it| it.to_string()));
+}
+
+#[test]
+fn every_metric_is_explained() {
+    let metrics: BTreeSet<String> = literals("tanagergauge_")
+        .into_iter()
+        .filter(|it| it.chars().all(|c| c == '_' || c.is_ascii_lowercase()))
+        .collect();
+    assert!(metrics.len() > 5, "{metrics:?}");
+    assert_names("docs/OPERATIONS.md", metrics.into_iter());
+}
+
+#[test]
+fn every_setting_is_explained() {
+    let source = file("crates/daemon/src/settings.rs");
+    let fields = source.lines().filter_map(|it| it.strip_prefix("    pub "));
+    let fields = fields.filter_map(|it| it.split_once(": ")).map(|it| it.0.to_owned());
+    let fields = fields.filter(|it| !it.contains(' '));
+    let page = file("docs/OPERATIONS.md");
+    let named =
+        |field: &str| page.contains(&format!("`{field}`")) || page.contains(&format!(".{field}`"));
+    let groups = ["platform", "limits", "stop", "policy"];
+    let missing: Vec<String> =
+        fields.filter(|it| !groups.contains(&it.as_str()) && !named(it)).collect();
+    assert!(missing.is_empty(), "docs/OPERATIONS.md does not name {missing:?}");
+}
+
+#[test]
+fn the_example_settings_are_usable() {
+    let settings = tanagergauge_daemon::Settings::parse(&file("examples/settings.yaml"));
+    let settings = settings.unwrap_or_else(|findings| panic!("{findings}"));
+    let defaults = tanagergauge_daemon::settings::Limits::default();
+    assert_eq!(format!("{:?}", settings.limits), format!("{defaults:?}"));
+}
+
+#[test]
+fn links_lead_somewhere() {
+    for page in ["README.md", "CONTRIBUTING.md", "docs/OPERATIONS.md"] {
+        let text = file(page);
+        let directory = PathBuf::from(page).parent().map(PathBuf::from).unwrap_or_default();
+        for link in text.split("](").skip(1).filter_map(|it| it.split(')').next()) {
+            let path = directory.join(link);
+            let root = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."));
+            assert!(root.join(&path).exists(), "{page} links to {link}");
+        }
+    }
+}
