Account for requests that a load run no longer waits for

A request whose answer does not come while the run drains had no row, so that the worst latencies vanished from the tally. It now counts as unknown with reason still_open.

--- a/crates/tool/src/call.rs
+++ b/crates/tool/src/call.rs
@@ -55,7 +55,8 @@
 }
 
 impl Fate {
-    fn silent(outcome: Outcome, reason: &str, whole: Duration) -> Fate {
+    /// Of a request that nothing was heard of.
+    pub(crate) fn silent(outcome: Outcome, reason: &str, whole: Duration) -> Fate {
         Fate {
             outcome,
             status: None,
--- a/crates/tool/src/cli.rs
+++ b/crates/tool/src/cli.rs
@@ -155,64 +155,72 @@
 }
 
 fn load_command() -> Command {
-    let file = |name: &'static str, help: &'static str| {
-        Arg::new(name)
-            .long(name)
-            .value_name("FILE")
-            .value_hint(ValueHint::FilePath)
-            .value_parser(value_parser!(PathBuf))
-            .help(help)
-    };
     Command::new("load")
         .about("Send requests when they are due and measure what becomes of them")
-        .arg(file("sheet", "The sheet").required(true))
-        .arg(file("profile", "What is sent").required(true))
-        .arg(
-            Arg::new("local")
-                .long("local")
-                .value_name("N")
-                .value_parser(value_parser!(usize))
-                .help("Start N instances and the sheet's endpoints as stand-ins in this process"),
-        )
-        .arg(settings_arg().requires("local"))
-        .arg(
-            file("more-settings", "YAML lines that each instance's settings end with")
-                .requires("local"),
-        )
-        .arg(
-            Arg::new("instance")
-                .long("instance")
-                .value_name("ADDRESS[=ZONE]")
-                .action(ArgAction::Append)
-                .conflicts_with("local")
-                .required_unless_present("local")
-                .help("An instance that runs already; may be repeated"),
-        )
-        .arg(
-            Arg::new("times-capacity")
-                .long("times-capacity")
-                .value_name("X")
-                .value_parser(value_parser!(f64))
-                .help("Rate as a multiple of what the stand-in engines can do"),
-        )
-        .arg(
-            Arg::new("seed")
-                .long("seed")
-                .value_parser(value_parser!(u64))
-                .help("Replaces the profile's seed"),
-        )
-        .arg(
-            Arg::new("duration-ms")
-                .long("duration-ms")
-                .value_parser(value_parser!(u64))
-                .help("Replaces the profile's duration"),
-        )
-        .arg(file("json", "Write what was measured as JSON"))
-        .arg(file("records", "Write a JSON line for each request"))
-        .arg(file("report", "Write a report with plots as HTML"))
+        .arg(file_option("sheet", "The sheet").required(true))
+        .arg(file_option("profile", "What is sent").required(true))
+        .args(instance_args())
+        .args(rate_args())
+        .arg(file_option("json", "Write what was measured as JSON"))
+        .arg(file_option("records", "Write a JSON line for each request"))
+        .arg(file_option("report", "Write a report with plots as HTML"))
         .arg(Arg::new("quiet").long("quiet").action(ArgAction::SetTrue).help("Show no progress"))
 }
 
+/// Which instances requests go to.
+fn instance_args() -> [Arg; 4] {
+    [
+        Arg::new("local")
+            .long("local")
+            .value_name("N")
+            .value_parser(value_parser!(usize))
+            .help("Start N instances and the sheet's endpoints as stand-ins in this process"),
+        settings_arg().requires("local"),
+        file_option("more-settings", "YAML lines that each instance's settings end with")
+            .requires("local"),
+        Arg::new("instance")
+            .long("instance")
+            .value_name("ADDRESS[=ZONE]")
+            .action(ArgAction::Append)
+            .conflicts_with("local")
+            .required_unless_present("local")
+            .help("An instance that runs already; may be repeated"),
+    ]
+}
+
+/// How much is sent, and for how long.
+fn rate_args() -> [Arg; 4] {
+    [
+        Arg::new("times-capacity")
+            .long("times-capacity")
+            .value_name("X")
+            .value_parser(value_parser!(f64))
+            .help("Rate as a multiple of what the stand-in engines can do"),
+        Arg::new("seed")
+            .long("seed")
+            .value_parser(value_parser!(u64))
+            .help("Replaces the profile's seed"),
+        Arg::new("duration-ms")
+            .long("duration-ms")
+            .value_parser(value_parser!(u64))
+            .help("Replaces the profile's duration"),
+        Arg::new("drain-ms")
+            .long("drain-ms")
+            .value_parser(value_parser!(u64))
+            .default_value("120000")
+            .help("How long answers are waited for after the last request"),
+    ]
+}
+
+fn file_option(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("FILE")
+        .value_hint(ValueHint::FilePath)
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
 fn bench_command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
         Arg::new(name)
--- a/crates/tool/src/load.rs
+++ b/crates/tool/src/load.rs
@@ -1,6 +1,11 @@
 //! `load`: sends requests when they are due, whatever became of earlier ones.
 
-use std::{collections::HashMap, path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    path::PathBuf,
+    sync::Arc,
+    time::Duration,
+};
 
 use indicatif::{ProgressBar, ProgressStyle};
 use tanagergauge_core::{
@@ -11,18 +16,19 @@
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
+    call::Fate,
     client::Client,
     failure::Failure,
     output::{Grid, Output, json, write},
-    plan::{Capacity, Entry, Plan, Planner, capacity, example_token},
+    plan::{Capacity, Entry, Plan, Planned, Planner, capacity, example_token},
     profile::Profile,
     report,
     stage::{SharedStage, Stage, loopback},
     tally::{EngineTally, Row, Spread, Tally, percent},
 };
 
-/// How long answers are waited for after the last request.
-const DRAIN: Duration = Duration::from_secs(120);
+/// Reason noted of a request whose answer was not waited for any longer.
+const STILL_OPEN: &str = "still_open";
 
 /// What a load run is told.
 #[derive(Debug)]
@@ -37,6 +43,8 @@
     pub(crate) more_settings: String,
     /// Instances that run already.
     pub(crate) entries: Vec<Entry>,
+    /// How long answers are waited for after the last request.
+    pub(crate) drain: Duration,
     /// Rate as a multiple of the capacity; absent where the profile gives a rate.
     pub(crate) times_capacity: Option<f64>,
     pub(crate) output: Output,
@@ -154,8 +162,10 @@
         }
     }
     drop(sender);
-    drain(&mut progress, &mut ended).await;
+    drain(&mut progress, &mut ended, options.drain).await;
     let duration = start.elapsed();
+    let open = still_open(plan, &sheet, &progress.1, duration);
+    progress.1.extend(open);
     progress.0.finish_and_clear();
     if let Some(changes) = changes {
         changes.abort();
@@ -214,13 +224,30 @@
 }
 
 /// Waits for the answers still to come.
-async fn drain(progress: &mut Progress, ended: &mut mpsc::UnboundedReceiver<Option<Row>>) {
-    let end = Instant::now() + DRAIN;
+async fn drain(
+    progress: &mut Progress,
+    ended: &mut mpsc::UnboundedReceiver<Option<Row>>,
+    patience: Duration,
+) {
+    let end = Instant::now() + patience;
     while let Ok(Some(row)) = tokio::time::timeout_at(end, ended.recv()).await {
         keep(progress, row);
     }
 }
 
+/// Rows of the requests that have not ended; nobody knows what becomes of them.
+fn still_open(plan: &Plan, sheet: &Sheet, rows: &[Row], duration: Duration) -> Vec<Row> {
+    let ended: HashSet<&str> = rows.iter().map(|it| it.request_id.as_str()).collect();
+    let open = plan.iter().filter(|it| !ended.contains(it.call.request_id.as_str()));
+    let row = |planned: &Planned| {
+        let class = sheet.class(&planned.call.class)?;
+        let whole = duration.saturating_sub(planned.due);
+        let fate = Fate::silent(Outcome::Unknown, STILL_OPEN, whole);
+        Some(Row::new(planned, class, &fate, false))
+    };
+    open.filter_map(row).collect()
+}
+
 fn engine_tally(stage: &Stage, rows: &[Row]) -> EngineTally {
     let rows: HashMap<&str, &Row> = rows.iter().map(|it| (it.request_id.as_str(), it)).collect();
     let whole = rows.values().filter(|it| it.outcome == Outcome::Answered && !it.foreign);
--- a/crates/tool/src/program.rs
+++ b/crates/tool/src/program.rs
@@ -132,6 +132,7 @@
             None => String::new(),
         },
         entries: entries?,
+        drain: millis(matches, "drain-ms"),
         times_capacity: option(matches, "times-capacity"),
         output: cli::output(matches),
         json: option(matches, "json"),
--- a/crates/tool/tests/cli.rs
+++ b/crates/tool/tests/cli.rs
@@ -336,3 +336,57 @@
         assert_eq!(page.matches("<svg").count(), 3);
     }
 }
+
+/// What one run sent, by its records: when it was due, what, for whom, and how long.
+fn sent(seed: &str, pace: &str, drain_ms: &str) -> Vec<(String, String, String, String)> {
+    let text = std::fs::read_to_string(PROFILES[0].1).expect("the profile can be read");
+    let text = text.replace("decode_tokens_per_s: 100", pace) + "rate_per_s: 60\n";
+    let mut profile = tempfile::NamedTempFile::new().expect("a file can be made");
+    profile.write_all(text.as_bytes()).expect("the file can be written");
+    let records = tempfile::NamedTempFile::new().expect("a file can be made");
+    let arguments = [
+        "load",
+        "--sheet",
+        KULJUS,
+        "--profile",
+        path(&profile),
+        "--local",
+        "1",
+        "--quiet",
+        "--duration-ms",
+        "500",
+        "--seed",
+        seed,
+        "--drain-ms",
+        drain_ms,
+        "--records",
+        path(&records),
+    ];
+    let output = run(&arguments);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let text = std::fs::read_to_string(records.path()).expect("the records can be read");
+    let row = |line: &str| -> (String, String, String, String) {
+        let row: Value = serde_json::from_str(line).expect("a record is JSON");
+        let field = |name: &str| row[name].to_string();
+        (field("due_ms"), field("class"), field("account"), field("wanted_tokens"))
+    };
+    text.lines().map(row).collect()
+}
+
+/// Pace of engines that answer at once.
+const FAST: &str = "decode_tokens_per_s: 20000";
+
+/// Pace of engines that answer nothing while a run is drained.
+const SLOW: &str = "decode_tokens_per_s: 0.1";
+
+#[test]
+fn a_seed_fixes_what_is_sent() {
+    let first = sent("7", FAST, "120000");
+    assert_eq!(first, sent("7", FAST, "120000"));
+    assert_ne!(first, sent("8", FAST, "120000"));
+}
+
+#[test]
+fn slow_answers_delay_no_request_and_lose_none() {
+    assert_eq!(sent("7", SLOW, "300"), sent("7", FAST, "120000"));
+}
