--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,11 +4,11 @@
 //! random number: time comes in as milliseconds and randomness as a number, so
 //! that the code which runs is the code which is model-checked and benchmarked.
 
-pub mod batch;
-pub mod claim;
 pub mod admit;
+pub mod batch;
 pub mod check;
 pub mod choose;
+pub mod claim;
 pub mod document;
 pub mod edit;
 pub mod fact;
@@ -16,9 +16,9 @@
 pub mod finding;
 pub mod fleet;
 pub mod fold;
+pub mod gossip;
 pub mod key;
 pub mod keytable;
-pub mod gossip;
 pub mod ledger;
 pub mod load;
 pub mod log;
