--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -4,8 +4,9 @@
 
 use crate::{
     finding::{Finding, Findings, Path},
+    misfit::{Fault, Misfit},
     node::{Key, Node, Value},
-    tree::{Fault, Misfit, TreeDeserializer},
+    tree::TreeDeserializer,
 };
 
 /// Findings after which reading gives up.
--- /dev/null
+++ b/crates/core/src/misfit.rs
@@ -0,0 +1,117 @@
+//! A value that does not fit its type, as serde reports it, with its place.
+
+use std::fmt;
+
+use serde::de::{self, Expected, Unexpected};
+
+use crate::{
+    finding::{Path, Place},
+    trail::Trail,
+};
+
+/// What must be mended to read on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// The value itself.
+    Value,
+    /// A field that is not there.
+    Missing(&'static str),
+    /// A field that nobody knows.
+    Unknown(String),
+}
+
+/// Why a value could not be read.
+#[derive(Clone, Debug)]
+pub(crate) struct ReadError(pub(crate) Box<Misfit>);
+
+/// A value that does not fit its type.
+#[derive(Clone, Debug)]
+pub(crate) struct Misfit {
+    /// The value it arose in.
+    pub(crate) at: Path,
+    pub(crate) fault: Fault,
+    pub(crate) found: String,
+    pub(crate) expected: String,
+    /// Place of the field's name, where that is what is wrong.
+    pub(crate) key_place: Option<Place>,
+    placed: bool,
+}
+
+impl Misfit {
+    /// The value, or the field in it, that is wrong.
+    pub(crate) fn path(&self) -> Path {
+        match &self.fault {
+            Fault::Value => self.at.clone(),
+            Fault::Missing(field) => self.at.field(field),
+            Fault::Unknown(field) => self.at.field(field),
+        }
+    }
+}
+
+impl ReadError {
+    pub(crate) fn new(fault: Fault, found: String, expected: String) -> ReadError {
+        let at = Path::root();
+        ReadError(Box::new(Misfit { at, fault, found, expected, key_place: None, placed: false }))
+    }
+
+    pub(crate) fn at(mut self, trail: &Trail<'_>) -> ReadError {
+        if !self.0.placed {
+            self.0.at = trail.path();
+            self.0.placed = true;
+        }
+        self
+    }
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "found {}, expected {}", self.0.found, self.0.expected)
+    }
+}
+
+impl std::error::Error for ReadError {}
+
+impl de::Error for ReadError {
+    fn custom<T: fmt::Display>(message: T) -> ReadError {
+        ReadError::new(Fault::Value, format!("a wrong value ({message})"), String::new())
+    }
+
+    fn invalid_type(found: Unexpected<'_>, expected: &dyn Expected) -> ReadError {
+        ReadError::new(Fault::Value, found.to_string(), in_words(&expected.to_string()))
+    }
+
+    fn invalid_value(found: Unexpected<'_>, expected: &dyn Expected) -> ReadError {
+        ReadError::new(Fault::Value, found.to_string(), in_words(&expected.to_string()))
+    }
+
+    fn unknown_variant(found: &str, expected: &'static [&'static str]) -> ReadError {
+        ReadError::new(Fault::Value, format!("\"{found}\""), one_of(expected))
+    }
+
+    fn unknown_field(found: &str, expected: &'static [&'static str]) -> ReadError {
+        let fault = Fault::Unknown(found.to_owned());
+        ReadError::new(fault, "an unknown field".to_owned(), one_of(expected))
+    }
+
+    fn missing_field(field: &'static str) -> ReadError {
+        let fault = Fault::Missing(field);
+        ReadError::new(fault, "nothing".to_owned(), format!("the field `{field}`"))
+    }
+}
+
+fn one_of(names: &[&str]) -> String {
+    let names: Vec<String> = names.iter().map(|it| format!("`{it}`")).collect();
+    format!("one of {}", names.join(", "))
+}
+
+/// Serde's names of types in words for operators.
+fn in_words(expected: &str) -> String {
+    match expected {
+        "u8" | "u16" | "u32" | "u64" | "usize" => "a whole number of 0 or more".to_owned(),
+        "i8" | "i16" | "i32" | "i64" | "isize" => "a whole number".to_owned(),
+        "f32" | "f64" => "a number".to_owned(),
+        "bool" => "a boolean, true or false".to_owned(),
+        other if other.starts_with("struct ") => "a mapping of fields".to_owned(),
+        other => other.to_owned(),
+    }
+}
--- a/crates/core/src/tree.rs
+++ b/crates/core/src/tree.rs
@@ -1,147 +1,22 @@
 //! Serde's view of a [`Node`], with errors that know where they arose.
 
-use std::fmt;
-
 use serde::{
     Deserializer,
-    de::{self, DeserializeSeed, Expected, Unexpected, Visitor},
+    de::{self, DeserializeSeed, Unexpected, Visitor},
     forward_to_deserialize_any,
 };
 
 use crate::{
-    finding::{Path, Place, Step},
+    finding::Step,
+    misfit::ReadError,
     node::{Key, Node, Value},
+    scalar::{Scalar, scalar},
+    trail::Trail,
 };
 
 /// Text that fills in for a wrong one. It parses as an address too.
 const FILLING: &str = "0.0.0.0:0";
 
-/// What must be mended to read on.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Fault {
-    /// The value itself.
-    Value,
-    /// A field that is not there.
-    Missing(&'static str),
-    /// A field that nobody knows.
-    Unknown(String),
-}
-
-/// Why a value could not be read.
-#[derive(Clone, Debug)]
-pub(crate) struct ReadError(pub(crate) Box<Misfit>);
-
-/// A value that does not fit its type.
-#[derive(Clone, Debug)]
-pub(crate) struct Misfit {
-    /// The value it arose in.
-    pub(crate) at: Path,
-    pub(crate) fault: Fault,
-    pub(crate) found: String,
-    pub(crate) expected: String,
-    /// Place of the field's name, where that is what is wrong.
-    pub(crate) key_place: Option<Place>,
-    placed: bool,
-}
-
-impl Misfit {
-    /// The value, or the field in it, that is wrong.
-    pub(crate) fn path(&self) -> Path {
-        match &self.fault {
-            Fault::Value => self.at.clone(),
-            Fault::Missing(field) => self.at.field(field),
-            Fault::Unknown(field) => self.at.field(field),
-        }
-    }
-}
-
-impl ReadError {
-    fn new(fault: Fault, found: String, expected: String) -> ReadError {
-        let at = Path::root();
-        ReadError(Box::new(Misfit { at, fault, found, expected, key_place: None, placed: false }))
-    }
-
-    fn at(mut self, trail: &Trail<'_>) -> ReadError {
-        if !self.0.placed {
-            self.0.at = trail.path();
-            self.0.placed = true;
-        }
-        self
-    }
-}
-
-impl fmt::Display for ReadError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "found {}, expected {}", self.0.found, self.0.expected)
-    }
-}
-
-impl std::error::Error for ReadError {}
-
-impl de::Error for ReadError {
-    fn custom<T: fmt::Display>(message: T) -> ReadError {
-        ReadError::new(Fault::Value, format!("a wrong value ({message})"), String::new())
-    }
-
-    fn invalid_type(found: Unexpected<'_>, expected: &dyn Expected) -> ReadError {
-        ReadError::new(Fault::Value, found.to_string(), in_words(&expected.to_string()))
-    }
-
-    fn invalid_value(found: Unexpected<'_>, expected: &dyn Expected) -> ReadError {
-        ReadError::new(Fault::Value, found.to_string(), in_words(&expected.to_string()))
-    }
-
-    fn unknown_variant(found: &str, expected: &'static [&'static str]) -> ReadError {
-        ReadError::new(Fault::Value, format!("\"{found}\""), one_of(expected))
-    }
-
-    fn unknown_field(found: &str, expected: &'static [&'static str]) -> ReadError {
-        let fault = Fault::Unknown(found.to_owned());
-        ReadError::new(fault, "an unknown field".to_owned(), one_of(expected))
-    }
-
-    fn missing_field(field: &'static str) -> ReadError {
-        let fault = Fault::Missing(field);
-        ReadError::new(fault, "nothing".to_owned(), format!("the field `{field}`"))
-    }
-}
-
-fn one_of(names: &[&str]) -> String {
-    let names: Vec<String> = names.iter().map(|it| format!("`{it}`")).collect();
-    format!("one of {}", names.join(", "))
-}
-
-/// Serde's names of types in words for operators.
-fn in_words(expected: &str) -> String {
-    match expected {
-        "u8" | "u16" | "u32" | "u64" | "usize" => "a whole number of 0 or more".to_owned(),
-        "i8" | "i16" | "i32" | "i64" | "isize" => "a whole number".to_owned(),
-        "f32" | "f64" => "a number".to_owned(),
-        "bool" => "a boolean, true or false".to_owned(),
-        other if other.starts_with("struct ") => "a mapping of fields".to_owned(),
-        other => other.to_owned(),
-    }
-}
-
-/// The way to a value while it is being read.
-struct Trail<'a> {
-    parent: Option<&'a Trail<'a>>,
-    step: Option<Step>,
-}
-
-impl Trail<'_> {
-    fn path(&self) -> Path {
-        let mut steps = Vec::new();
-        let mut trail = Some(self);
-        while let Some(it) = trail {
-            steps.extend(it.step.clone());
-            trail = it.parent;
-        }
-        steps.reverse();
-        Path(steps)
-    }
-}
-
 /// Reads a [`Node`] for serde.
 pub(crate) struct TreeDeserializer<'a, 't> {
     node: &'a Node,
@@ -493,33 +368,3 @@
     let trail = Trail { parent: Some(parent), step };
     seed.deserialize(TreeDeserializer { node, trail })
 }
-
-enum Scalar {
-    Bool(bool),
-    Unsigned(u64),
-    Signed(i64),
-    Float(f64),
-    Text,
-}
-
-/// What a plain scalar is, by the core schema of YAML 1.2 without octal and hexadecimal.
-fn scalar(text: &str) -> Scalar {
-    match text {
-        "true" | "True" | "TRUE" => return Scalar::Bool(true),
-        "false" | "False" | "FALSE" => return Scalar::Bool(false),
-        _ => {}
-    }
-    if !text.starts_with(|it: char| it.is_ascii_digit() || matches!(it, '+' | '-' | '.')) {
-        return Scalar::Text;
-    }
-    if let Ok(it) = text.parse() {
-        return Scalar::Unsigned(it);
-    }
-    if let Ok(it) = text.parse() {
-        return Scalar::Signed(it);
-    }
-    match text.parse::<f64>() {
-        Ok(it) if it.is_finite() => Scalar::Float(it),
-        _ => Scalar::Text,
-    }
-}
