Prove that bad input runs nothing, and count what is no HTTP

Cause: every request that cannot be accepted has to end in a structured error with a counter of its reason. The tests showed one gap: what the HTTP library refuses itself (no HTTP, two lengths, a head beyond the limits) was answered but counted nowhere; it now counts as malformed.

Ruled out: a body for those answers, which the library writes on its own; a counter for heads that time out, since idle connections end that way too.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -125,8 +125,11 @@
         .serve_connection(TokioIo::new(socket), service);
     let connection = graceful.watch(connection);
     async move {
-        // A caller that breaks off has nobody left to tell.
-        let _ = connection.await;
+        // The library has answered what is no HTTP; a caller that breaks off has nobody
+        // left to tell.
+        if connection.await.is_err_and(|it| it.is_parse()) {
+            counters::refusal(Reason::Malformed);
+        }
     }
 }
 
--- a/crates/testenv/src/call.rs
+++ b/crates/testenv/src/call.rs
@@ -125,6 +125,24 @@
         self
     }
 
+    /// Adds a header beside one of that name.
+    pub fn second(mut self, name: &str, value: &str) -> Call {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Takes a header away.
+    pub fn without(mut self, name: &str) -> Call {
+        self.headers.retain(|it| !it.0.eq_ignore_ascii_case(name));
+        self
+    }
+
+    /// Sets the path.
+    pub fn path(mut self, path: &str) -> Call {
+        self.path = path.to_owned();
+        self
+    }
+
     /// The body's bytes.
     pub fn bytes(&self) -> Bytes {
         match &self.body {
--- a/crates/testenv/src/raw.rs
+++ b/crates/testenv/src/raw.rs
@@ -36,6 +36,11 @@
         let _ = self.stream.write_all(bytes.as_ref()).await;
     }
 
+    /// Closes the connection for writing.
+    pub async fn close_writing(&mut self) {
+        let _ = self.stream.shutdown().await;
+    }
+
     /// Reads until the other side closes.
     ///
     /// # Panics
