--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    key::{Fingerprint, KeyId, KeyLimits},
+    key::{KeyId, KeyLimits, RequestDigest},
     log::{LogRecord, Page},
     owner::Owner,
 };
@@ -29,7 +29,7 @@
     /// The time in the key.
     pub key_unix_ms: u64,
     /// What the claimant was asked for.
-    pub fingerprint: Fingerprint,
+    pub digest: RequestDigest,
 }
 
 /// A record of the stream: claims of one owner.
@@ -62,7 +62,7 @@
     /// Who alone may run the request.
     pub owner: Arc<Owner>,
     /// What it was asked for.
-    pub fingerprint: Fingerprint,
+    pub digest: RequestDigest,
 }
 
 /// What a reader knows about a key.
@@ -176,7 +176,7 @@
     }
 
     fn count(&mut self, owner: &Arc<Owner>, claim: &Claim) {
-        let winner = Winner { owner: owner.clone(), fingerprint: claim.fingerprint };
+        let winner = Winner { owner: owner.clone(), digest: claim.digest };
         self.winners.entry(claim.key).or_insert(winner);
         self.by_age.insert((claim.key_unix_ms, claim.key));
     }
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -30,13 +30,13 @@
     }
 }
 
-/// Fingerprint of what a request asks for.
+/// Digest of what a request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Fingerprint(u64);
+pub struct RequestDigest(u64);
 
-impl Fingerprint {
-    /// Fingerprint of a request's class, method, target and body.
-    pub fn new(class: &str, method: &str, target: &str, body: &[u8]) -> Fingerprint {
+impl RequestDigest {
+    /// Digest of a request's class, method, target and body.
+    pub fn new(class: &str, method: &str, target: &str, body: &[u8]) -> RequestDigest {
         let mut hasher = blake3::Hasher::new();
         for part in [class.as_bytes(), method.as_bytes(), target.as_bytes(), body] {
             hasher.update(&(part.len() as u64).to_le_bytes());
@@ -44,7 +44,7 @@
         }
         let mut bytes = [0; 8];
         hasher.finalize_xof().fill(&mut bytes);
-        Fingerprint(u64::from_le_bytes(bytes))
+        RequestDigest(u64::from_le_bytes(bytes))
     }
 }
 
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -9,11 +9,21 @@
 };
 use metrics::counter;
 use serde::{Deserialize, Serialize};
-use tanagergauge_core::{Name, Outcome, Reason, owner::Owner, sheet::Kind};
+use tanagergauge_core::{
+    Name, Outcome, Reason, owner::Owner, prefix::PrefixHashes, quarantine::Fingerprint, sheet::Kind,
+};
 
 use crate::{
-    attempt::Call, caller::Caller, exchange::WholeAnswer, keys::Keys, once, refusal::Refusal,
-    rpc::RpcError, shared::Shared, view::Target, work::Work,
+    attempt::Call,
+    caller::Caller,
+    exchange::WholeAnswer,
+    keys::Keys,
+    once,
+    refusal::Refusal,
+    rpc::RpcError,
+    shared::Shared,
+    view::Target,
+    work::{Content, Work},
 };
 
 /// Name of the method by which instances pass requests on.
@@ -40,6 +50,7 @@
     uri: String,
     headers: Vec<HeaderLine>,
     body: Vec<u8>,
+    fingerprint: [u8; 16],
     left_ms: u64,
 }
 
@@ -163,6 +174,7 @@
             uri: call.uri.to_string(),
             headers: lines(&call.headers),
             body: call.body.to_vec(),
+            fingerprint: work.content.fingerprint.bytes(),
             left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         }
     }
@@ -181,7 +193,12 @@
         let deadline_ms = self.left_ms;
         let caller = Caller { account: self.account, class, deadline_ms, key: Some(self.key) };
         let target = Target { kind: self.kind, name: self.target };
-        Some(Work { caller, target, call, arrived_ms: shared.clock.now_ms() })
+        let content = Content {
+            is_stream: false,
+            prefix: PrefixHashes::default(),
+            fingerprint: Fingerprint::from_bytes(self.fingerprint),
+        };
+        Some(Work { caller, target, call, content, arrived_ms: shared.clock.now_ms() })
     }
 }
 
@@ -192,6 +209,7 @@
                 status: StatusCode::from_u16(status).unwrap_or(StatusCode::OK),
                 headers: header_map(headers),
                 body: Bytes::from(body),
+                tokens: 0,
             }),
             RunAnswer::Refused { outcome, reason, message, retry_after_ms } => {
                 Err(Refusal { outcome, reason, message, retry_after_ms })
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -16,7 +16,10 @@
     server::graceful::GracefulShutdown,
 };
 use serde::{Deserialize, Serialize, de::IgnoredAny};
-use tanagergauge_core::{Name, Outcome, Reason, sheet::Kind};
+use serde_json::value::RawValue;
+use tanagergauge_core::{
+    Name, Outcome, Reason, prefix::PrefixHashes, quarantine::Fingerprint, sheet::Kind,
+};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
@@ -37,7 +40,7 @@
     shared::{Phase, Shared},
     stream, tickets,
     view::{RankedClass, Target, View},
-    work::{Ended, Work},
+    work::{Content, Ended, Work},
 };
 
 /// Largest number of headers of a request.
@@ -60,6 +63,9 @@
     model: Cow<'a, str>,
     #[serde(default)]
     stream: bool,
+    /// The prompt as it stands.
+    #[serde(borrow, default)]
+    messages: Option<&'a RawValue>,
     /// Our own field between instances and endpoints.
     #[serde(default)]
     resume: Option<IgnoredAny>,
@@ -128,8 +134,11 @@
         .serve_connection(TokioIo::new(socket), service);
     let connection = graceful.watch(connection);
     async move {
-        // A caller that breaks off has nobody left to tell.
-        let _ = connection.await;
+        // The library has answered what is no HTTP; a caller that breaks off has nobody
+        // left to tell.
+        if connection.await.is_err_and(|it| it.is_parse()) {
+            counters::refusal(Reason::Malformed);
+        }
     }
 }
 
@@ -277,8 +286,9 @@
         return Err(Refusal::not_run(Reason::WrongKind, message));
     }
     let uri = Uri::from_static(CHAT_PATH);
-    let call = call(parts.method, uri, &parts.headers, body, request_id, &caller);
-    Ok((Work { caller, target, call, arrived_ms }, is_stream))
+    let content = chat_content(&caller, &target, &head);
+    let call = call(parts.method, uri, &parts.headers, body.clone(), request_id, &caller);
+    Ok((Work { caller, target, call, content, arrived_ms }, is_stream))
 }
 
 fn parse_chat(body: &[u8]) -> Result<ChatHead<'_>, Refusal> {
@@ -291,6 +301,15 @@
     Ok(head)
 }
 
+fn chat_content(caller: &Caller, target: &Target, head: &ChatHead<'_>) -> Content {
+    let prompt = head.messages.map_or("", RawValue::get).as_bytes();
+    Content {
+        is_stream: head.stream,
+        prefix: PrefixHashes::new(&target.name, prompt),
+        fingerprint: Fingerprint::new(&caller.account, &target.name, prompt),
+    }
+}
+
 fn model_target(view: &View, asked: &str) -> Result<Target, Refusal> {
     let name = view.model(asked).ok_or_else(|| {
         Refusal::not_run(Reason::UnknownTarget, format!("the sheet has no model `{asked}`"))
@@ -310,8 +329,10 @@
     let (target, uri) = service_target(&view, request.uri())?;
     let (parts, body) = request.into_parts();
     let body = read_body(shared, body).await?;
+    let fingerprint = Fingerprint::new(&caller.account, uri.path(), &body);
+    let content = Content { is_stream: false, prefix: PrefixHashes::default(), fingerprint };
     let call = call(parts.method, uri, &parts.headers, body, request_id, &caller);
-    Ok(Work { caller, target, call, arrived_ms })
+    Ok(Work { caller, target, call, content, arrived_ms })
 }
 
 /// Splits `/services/NAME/PATH?QUERY` into the service and what it is asked.
--- a/crates/daemon/src/keys.rs
+++ b/crates/daemon/src/keys.rs
@@ -14,7 +14,7 @@
 use tanagergauge_core::{
     Name, Reason,
     claim::{Claim, Standing},
-    key::{Fingerprint, KeyAge, KeyId, KeyLimits, uuid_unix_ms},
+    key::{KeyAge, KeyId, KeyLimits, RequestDigest, uuid_unix_ms},
     keytable::{KeyTable, Reserve},
     owner::Owner,
     ticket::{MAC_BYTES, Ticket, TicketError},
@@ -69,7 +69,7 @@
     /// The key, for this account.
     pub id: KeyId,
     /// What the request asks for.
-    pub fingerprint: Fingerprint,
+    pub digest: RequestDigest,
     key: Key,
 }
 
@@ -114,7 +114,7 @@
         let target = format!("{} {}", work.target.name, call.uri);
         Ok(Keyed {
             id: KeyId::new(&work.caller.account, text),
-            fingerprint: Fingerprint::new(class, call.method.as_str(), &target, &call.body),
+            digest: RequestDigest::new(class, call.method.as_str(), &target, &call.body),
             key,
         })
     }
@@ -273,7 +273,7 @@
             }
             Reserve::Expired => return Err(expired()),
         }
-        let claim = Claim { key: keyed.id, key_unix_ms, fingerprint: keyed.fingerprint };
+        let claim = Claim { key: keyed.id, key_unix_ms, digest: keyed.digest };
         let standing = timeout(wait, self.claim(claim)).await.ok().flatten();
         match standing {
             Some(Standing::Won(winner)) if *winner.owner == self.owner => Ok(Place::Here),
--- a/crates/daemon/src/once.rs
+++ b/crates/daemon/src/once.rs
@@ -73,7 +73,7 @@
 ) -> Result<WholeAnswer, Refusal> {
     let mut changes = keys.changes();
     loop {
-        let offer = keys.table().offer(keyed.id, keyed.fingerprint, unix_ms());
+        let offer = keys.table().offer(keyed.id, keyed.digest, unix_ms());
         match offer {
             Offer::Run => return start(shared, keys, work, keyed.id).await,
             Offer::Answer(answer) => return Ok(whole(&answer)),
@@ -180,5 +180,6 @@
         status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
         headers,
         body: Bytes::copy_from_slice(&answer.body),
+        tokens: 0,
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,7 +14,7 @@
     finding::{Findings, Path},
 };
 
-use crate::idempotency::IdempotencySettings;
+use crate::{idempotency::IdempotencySettings, policy::PolicySettings};
 
 /// Smallest head that the HTTP library can be told to accept, in bytes.
 const MIN_HEAD_BYTES: usize = 8192;
@@ -46,6 +46,9 @@
     /// Bounds on what callers may send.
     #[serde(default)]
     pub limits: Limits,
+    /// The policy under load.
+    #[serde(default)]
+    pub policy: PolicySettings,
     /// How a planned stop goes.
     #[serde(default)]
     pub stop: StopSettings,
--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -24,6 +24,8 @@
         engines: vec![EngineSettings::default(); engines],
         services,
         limits: format!("stream_idle_ms: {STREAM_IDLE_MS}"),
+        // So that every engine has its turn, and every failure its retry.
+        more: "policy: { routing: round-robin, retry_budget: false }".to_owned(),
         ..FleetOptions::default()
     };
     Fleet::start(BINARY, options).await.unwrap()
@@ -328,7 +330,7 @@
 #[tokio::test]
 async fn a_run_whose_caller_left_is_cancelled() {
     let fleet = fleet(1, 1).await;
-    let long = Call::chat(DEFERRED_CLASS, "act one").max_tokens(1_000_000);
+    let long = Call::chat(DEFERRED_CLASS, "act one").max_tokens(1_000_000).deadline_ms(600_000);
     for call in [long.clone(), long.stream()] {
         let runs = engine_runs(&fleet).len();
         let address = fleet.instances[0].address();
--- a/crates/tool/src/trial.rs
+++ b/crates/tool/src/trial.rs
@@ -60,7 +60,7 @@
 /// The deployment does not come up, or a request was not answered.
 pub(crate) async fn run(options: TrialOptions) -> Result<(), Failure> {
     let pace = Pace { decode_tokens_per_s: 40.0, ..Pace::default() };
-    let mut stage = Stage::raise(options.sheet, pace).await?;
+    let mut stage = Stage::raise(options.sheet, pace, String::new()).await?;
     stage.start_instances(INSTANCES, options.listen).await?;
     let address = stage.entries[0].address;
     eprintln!(
@@ -184,12 +184,16 @@
         println!(
             "\nStill up; Ctrl-C ends it. To go on by hand:\n\n  \
              curl -N http://{address}{} \\\n    -H 'Authorization: Bearer {}' \\\n    \
-             -H 'X-Service-Class: {}' \\\n    -d '{}'\n\n\
-             The stand-in platform is at {}.",
+             -H 'X-Service-Class: {}' \\\n    -d '{}'\n\n  \
+             tanagergauge explain {} --control {} --keys {}\n  \
+             tanagergauge sheet show --platform {}",
             call.path,
             call.token,
             call.class,
             String::from_utf8_lossy(&call.body),
+            call.request_id,
+            stage.entries[0].control.unwrap_or(address),
+            stage.keys.display(),
             stage.platform(),
         );
     }
