--- a/crates/testenv/src/fleet.rs
+++ b/crates/testenv/src/fleet.rs
@@ -238,6 +238,16 @@
         offset
     }
 
+    /// Takes note of a sheet that a test published by itself.
+    pub fn set_version(&mut self, offset: u64) {
+        self.version = Some(offset);
+    }
+
+    /// Where the settings of instances lie.
+    pub fn dir(&self) -> &Path {
+        self.dir.path()
+    }
+
     /// Puts every instance and endpoint on the platform's list as live.
     pub fn list_all(&self) {
         let instances = self.instances.iter().map(|it| Entry {
