--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -30,6 +30,8 @@
 pub const MESSAGE_FACTS: usize = 64;
 /// Instances of a zone that pull from each other zone.
 pub const LINKS: usize = 2;
+/// Peers of the zone that an urgent fact is pushed to, by each who hears of it first.
+pub const PUSH_FANOUT: usize = 4;
 /// Rounds between two pulls of a link.
 const LINK_ROUNDS: u64 = 2;
 /// Rounds between two pulls from an address of the settings.
@@ -259,15 +261,13 @@
         mut draw: impl FnMut() -> u64,
     ) -> Vec<SocketAddr> {
         let mut targets = Vec::new();
-        let live: Vec<&Member> = self.live_peers(now).map(|(_, it)| it).collect();
+        let (names, live): (Vec<&Name>, Vec<&Member>) = self.live_peers(now).unzip();
         targets.extend(pick(&live, draw()).map(|it| it.control_address));
         if self.rounds.is_multiple_of(SUSPECT_ROUNDS) {
             let suspects: Vec<&Member> = self.suspects(now).map(|(_, it)| it).collect();
             targets.extend(pick(&suspects, draw()).map(|it| it.control_address));
         }
-        for zone in self.other_zones() {
-            targets.extend(self.link_target(&zone, now, &mut draw));
-        }
+        targets.extend(self.link_targets(&names, &mut draw));
         let is_alone = targets.is_empty() && live.is_empty();
         if is_alone || self.rounds.is_multiple_of(SEED_ROUNDS) {
             let seeds: Vec<&SocketAddr> =
@@ -281,14 +281,13 @@
     /// from the first to learn of them, one instance of each other zone.
     pub fn push_targets(
         &self,
-        fanout: usize,
         crosses: bool,
         now: Now,
         mut draw: impl FnMut() -> u64,
     ) -> Vec<SocketAddr> {
         let mut live: Vec<&Member> = self.live_peers(now).map(|(_, it)| it).collect();
         let mut targets = Vec::new();
-        for _ in 0..fanout {
+        for _ in 0..PUSH_FANOUT {
             if live.is_empty() {
                 break;
             }
@@ -296,11 +295,8 @@
             targets.push(live.swap_remove(chosen).control_address);
         }
         if crosses {
-            for zone in self.other_zones() {
-                let members: Vec<&Member> =
-                    self.facts.zone_members(&zone).map(|(_, it)| it).collect();
-                targets.extend(pick(&members, draw()).map(|it| it.control_address));
-            }
+            let zones = self.other_zones();
+            targets.extend(zones.iter().filter_map(|zone| self.any_of(zone, draw())));
         }
         targets
     }
@@ -356,12 +352,14 @@
 
     /// Peers of this zone that are live and heard of lately.
     pub fn live_peers(&self, now: Now) -> impl Iterator<Item = (&Name, &Member)> {
-        self.zone_peers().filter(move |(name, _)| !self.is_suspect(name, now))
+        let limit_ms = self.suspect_after_ms();
+        self.zone_peers().filter(move |(name, _)| self.silence_ms(name, now) <= limit_ms)
     }
 
     /// Peers of this zone that have been silent.
     pub fn suspects(&self, now: Now) -> impl Iterator<Item = (&Name, &Member)> {
-        self.zone_peers().filter(move |(name, _)| self.is_suspect(name, now))
+        let limit_ms = self.suspect_after_ms();
+        self.zone_peers().filter(move |(name, _)| self.silence_ms(name, now) > limit_ms)
     }
 
     /// Place of this instance among the live ones of its zone for a task.
@@ -457,12 +455,9 @@
             .filter(|(name, _)| **name != self.own)
     }
 
-    fn is_suspect(&self, name: &Name, now: Now) -> bool {
-        let silence_ms = self
-            .copies
-            .get(&Tag::of(name))
-            .map_or(u64::MAX, |it| now.ms.saturating_sub(it.heard_ms));
-        silence_ms > self.suspect_after_ms()
+    fn silence_ms(&self, name: &Name, now: Now) -> u64 {
+        let copied = self.copies.get(&Tag::of(name));
+        copied.map_or(u64::MAX, |it| now.ms.saturating_sub(it.heard_ms))
     }
 
     /// Grows with the logarithm of the zone, as the way of a heartbeat does.
@@ -486,17 +481,23 @@
         zones
     }
 
-    fn link_target(
-        &self,
-        zone: &Name,
-        now: Now,
-        draw: &mut impl FnMut() -> u64,
-    ) -> Option<SocketAddr> {
-        if !self.rounds.is_multiple_of(LINK_ROUNDS) || self.place(zone, now) >= LINKS {
-            return None;
+    /// Instances of other zones to pull from, where this one has the link to the zone.
+    fn link_targets(&self, peers: &[&Name], draw: &mut impl FnMut() -> u64) -> Vec<SocketAddr> {
+        if !self.rounds.is_multiple_of(LINK_ROUNDS) {
+            return Vec::new();
         }
+        let has_link = |zone: &Name| {
+            let peers = peers.iter().map(|it| it.as_str());
+            rendezvous::place(zone, &self.own, peers) < LINKS
+        };
+        let linked = self.other_zones().into_iter().filter(has_link);
+        linked.filter_map(|zone| self.any_of(&zone, draw())).collect()
+    }
+
+    /// One instance of a zone.
+    fn any_of(&self, zone: &Name, draw: u64) -> Option<SocketAddr> {
         let members: Vec<&Member> = self.facts.zone_members(zone).map(|(_, it)| it).collect();
-        pick(&members, draw()).map(|it| it.control_address)
+        pick(&members, draw).map(|it| it.control_address)
     }
 
     fn drop_gone_copies(&mut self) {
@@ -512,10 +513,7 @@
         if self.live_peers(now).count() * 2 + 1 < peers {
             return;
         }
-        let is_silent = |name: &Name| {
-            let copied = self.copies.get(&Tag::of(name));
-            copied.is_none_or(|it| now.ms.saturating_sub(it.heard_ms) > GONE_AFTER_MS)
-        };
+        let is_silent = |name: &Name| self.silence_ms(name, now) > GONE_AFTER_MS;
         let silent: Vec<Fact> = self
             .zone_peers()
             .filter(|(name, _)| is_silent(name))
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -4,7 +4,9 @@
 
 use tanagergauge_core::{
     Member, MemberState, Name,
-    gossip::{ANSWER_READINGS, Gossip, MESSAGE_FACTS, Now, Push, ROUND_MS, ZONE_READINGS},
+    gossip::{
+        ANSWER_READINGS, Gossip, MESSAGE_FACTS, Now, PUSH_FANOUT, Push, ROUND_MS, ZONE_READINGS,
+    },
     reading::{Reading, Subject, Tag},
 };
 
@@ -91,6 +93,28 @@
         self.instances.get_mut(&from).unwrap().merge(&answer, self.now);
     }
 
+    /// Pushes a fact from the first to learn of it until nobody has news; returns how
+    /// many pushes that took.
+    fn push(&mut self, first: SocketAddr, push: &Push) -> usize {
+        let mut pushes = 0;
+        let mut waiting = vec![(first, true)];
+        while let Some((from, crosses)) = waiting.pop() {
+            let draws: Vec<u64> = (0..64).map(|_| self.draw()).collect();
+            let mut draws = draws.into_iter();
+            let now = self.now;
+            let targets =
+                self.instances[&from].push_targets(crosses, now, || draws.next().unwrap());
+            pushes += targets.len();
+            for target in targets {
+                let target_state = self.instances.get_mut(&target).unwrap();
+                if !target_state.receive_all(&push.facts, now).is_empty() {
+                    waiting.push((target, false));
+                }
+            }
+        }
+        pushes
+    }
+
     fn reaches(&self, from: SocketAddr, to: SocketAddr) -> bool {
         let zone = |at: SocketAddr| &self.instances[&at].member().availability_zone;
         self.instances.contains_key(&to)
@@ -219,14 +243,34 @@
     let mut fleet = Fleet::new(3, 8);
     fleet.rounds_until(60, |it| it.all_know(24));
     let now = fleet.now;
-    let targets = fleet.at(0).push_targets(3, true, now, || 5);
-    assert_eq!(targets.len(), 3 + 2);
+    let targets = fleet.at(0).push_targets(true, now, || 5);
+    assert_eq!(targets.len(), PUSH_FANOUT + 2);
     let fact = fleet.at(0).endpoint_left(&"libretto-1".into(), now).unwrap();
     let push = Push { facts: vec![fact] };
     assert_eq!(fleet.at(9).receive_all(&push.facts, now).len(), 1);
     assert!(fleet.at(9).receive_all(&push.facts, now).is_empty());
 }
 
+#[test]
+fn a_push_and_two_rounds_reach_every_zone() {
+    let (zones, per_zone) = (4, 37);
+    let mut fleet = Fleet::new(zones, per_zone);
+    fleet.rounds_until(120, |it| it.all_know(zones * per_zone));
+    let mut most_rounds = 0;
+    for leaving in 0..5 {
+        let endpoint = Name::from(format!("libretto-{leaving}"));
+        let first = address(leaving * 31);
+        let now = fleet.now;
+        let fact = fleet.at(leaving * 31).endpoint_left(&endpoint, now).unwrap();
+        let pushes = fleet.push(first, &Push { facts: vec![fact] });
+        assert!(pushes <= zones * per_zone * (PUSH_FANOUT + 1), "{pushes} pushes");
+        let rounds = fleet.rounds_until(40, |it| it.all_see_leaving(&endpoint));
+        most_rounds = most_rounds.max(rounds);
+    }
+    println!("{most_rounds} rounds after the push at most");
+    assert!(most_rounds <= 2, "{most_rounds} rounds");
+}
+
 #[test]
 fn messages_of_a_busy_zone_stay_within_the_budget() {
     let per_zone = 37;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -35,8 +35,6 @@
 /// Asks a peer for its copy of the configuration: nothing, answered by `Option<Snapshot>`.
 pub const SHEET: &str = "peer_sheet";
 
-/// Peers of the zone that an urgent fact is pushed to.
-const PUSH_FANOUT: usize = 3;
 /// Longest wait for a peer's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Longest wait for a peer's copy of the configuration.
@@ -276,7 +274,7 @@
         let facts: Vec<Fact> = urgent.take(MESSAGE_FACTS).cloned().collect();
         if !facts.is_empty() {
             let push = Push { facts };
-            for target in self.gossip.push_targets(PUSH_FANOUT, crosses, now, rand::random) {
+            for target in self.gossip.push_targets(crosses, now, rand::random) {
                 tokio::spawn(push_to(Arc::clone(&self.own.rpc), target, push.clone()));
             }
         }
@@ -284,7 +282,7 @@
 
     fn set_state(&mut self, state: MemberState, reply: oneshot::Sender<()>, now: Now) {
         let fact = self.gossip.set_state(state, now);
-        let targets = self.gossip.push_targets(PUSH_FANOUT, true, now, rand::random);
+        let targets = self.gossip.push_targets(true, now, rand::random);
         let push = Push { facts: fact.into_iter().collect() };
         let pushes: Vec<_> = targets
             .into_iter()
