--- a/crates/tool/src/cli.rs
+++ b/crates/tool/src/cli.rs
@@ -232,15 +232,12 @@
     Command::new("bench")
         .about("Measure what an instance costs against the direct path to the same stand-in")
         .arg(number("streams", "500", "Streams open at once"))
-        .arg(number("tokens", "64", "Tokens of each stream"))
+        .arg(number("tokens", "512", "Tokens of each stream"))
         .arg(number("requests", "20000", "Short requests"))
         .arg(settings_arg())
         .arg(
-            Arg::new("pid")
-                .long("pid")
-                .value_parser(value_parser!(u32))
-                .requires("settings")
-                .help("Process of the instance, whose resident memory is printed"),
+            file_option("pid-file", "File with the instance's process id, to print its memory")
+                .requires("settings"),
         )
 }
 
--- a/crates/tool/src/program.rs
+++ b/crates/tool/src/program.rs
@@ -165,7 +165,7 @@
         tokens: value(matches, "tokens"),
         requests: value(matches, "requests"),
         settings: option(matches, "settings"),
-        pid: option(matches, "pid"),
+        pid_file: option(matches, "pid-file"),
         output: cli::output(matches),
     }
 }
--- a/crates/tool/src/sheet.rs
+++ b/crates/tool/src/sheet.rs
@@ -65,21 +65,23 @@
     }
     let file = load(path)?;
     let sheet = &file.sheet;
-    println!(
-        "{}: {} classes in {} tiers, {} client accounts, {} models, {} endpoints in {} \
-         availability zones; {} warnings",
-        sheet.sheet,
-        sheet.classes.len(),
-        sheet.tiers.len(),
-        sheet.client_accounts.len(),
-        sheet.models.len(),
-        sheet.endpoints.len(),
-        sheet.availability_zones.len(),
-        file.findings.len(),
-    );
+    let parts = [
+        count(sheet.classes.len(), "class", "classes"),
+        count(sheet.tiers.len(), "tier", "tiers"),
+        count(sheet.client_accounts.len(), "client account", "client accounts"),
+        count(sheet.models.len(), "model", "models"),
+        count(sheet.endpoints.len(), "endpoint", "endpoints"),
+        count(sheet.availability_zones.len(), "availability zone", "availability zones"),
+        count(file.findings.len(), "warning", "warnings"),
+    ];
+    println!("{}: {}", sheet.sheet, parts.join(", "));
     Ok(())
 }
 
+fn count(number: usize, one: &str, many: &str) -> String {
+    format!("{number} {}", if number == 1 { one } else { many })
+}
+
 /// What `sheet publish` is told.
 #[derive(Debug)]
 pub(crate) struct PublishOptions {
