Let tests and local runs take their ports from the listener

The harness looked for a free port, closed it, and gave it to a daemon later; another process took it in between. Ruled out: a second try with another port, which only makes it rarer. Now every daemon binds port 0; a proxy that must be known first gets its target once the daemon has said where it listens (log field control_listen). The same in the tool's local runs; only 'await' mode, where a person starts the daemons, still writes addresses beforehand.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -83,6 +83,8 @@
     pub rpc: Arc<RpcClient>,
     /// Address by which peers and operators reach this instance.
     pub control_address: SocketAddr,
+    /// Address it listens on for them; another one behind an address translation.
+    pub control_listen: SocketAddr,
 }
 
 impl Fleet {
@@ -141,7 +143,7 @@
     let message = dispatcher::Message::Fleet(view.clone(), peers.clone());
     // The actor is gone only when the process stops.
     let _ = shared.dispatcher.send_message(message);
-    let fleet = Fleet { peers, view, rpc, control_address: own };
+    let fleet = Fleet { peers, view, rpc, control_address: own, control_listen: bound };
     let context = ControlContext { trust, meter: Arc::clone(&meters.peers), own };
     let methods = methods(&shared, &fleet, &follower);
     tokio::spawn(control::serve(listener, context, methods));
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -63,6 +63,8 @@
 pub struct Running {
     /// Address for callers.
     pub address: SocketAddr,
+    /// Address by which peers and operators reach it.
+    pub control_address: SocketAddr,
     /// What its requests share.
     pub shared: Arc<Shared>,
     phase: watch::Sender<Phase>,
@@ -118,9 +120,15 @@
     keys::start(&shared, &fleet, &platform_meter).await?;
     tokio::spawn(upkeep());
     let front = tokio::spawn(front::serve(listener, Arc::clone(&shared)));
+    tracing::info!(
+        %address,
+        control_address = %fleet.control_address,
+        control_listen = %fleet.control_listen,
+        instance = %shared.settings.instance,
+        "listening"
+    );
     let control_address = fleet.control_address;
-    tracing::info!(%address, %control_address, instance = %shared.settings.instance, "listening");
-    Ok(Running { address, shared, phase: phase_sender, front, fleet })
+    Ok(Running { address, control_address, shared, phase: phase_sender, front, fleet })
 }
 
 impl Running {
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -4,7 +4,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -67,7 +67,8 @@
 }
 
 struct Shared {
-    target: SocketAddr,
+    /// None until it is known; connections are closed at once until then.
+    target: Mutex<Option<SocketAddr>>,
     faults: watch::Sender<ProxyFaults>,
     connections: AtomicU64,
     up_bytes: AtomicU64,
@@ -98,8 +99,18 @@
     /// # Errors
     /// When no port can be had.
     pub async fn start(target: SocketAddr) -> io::Result<Proxy> {
+        let proxy = Proxy::without_target().await?;
+        proxy.set_target(target);
+        Ok(proxy)
+    }
+
+    /// Starts a proxy whose target is not known yet.
+    ///
+    /// # Errors
+    /// When no port can be had.
+    pub async fn without_target() -> io::Result<Proxy> {
         let shared = Arc::new(Shared {
-            target,
+            target: Mutex::default(),
             faults: watch::Sender::default(),
             connections: AtomicU64::new(0),
             up_bytes: AtomicU64::new(0),
@@ -110,6 +121,11 @@
         Ok(Proxy { gate, shared })
     }
 
+    /// Sets where new connections go.
+    pub fn set_target(&self, target: SocketAddr) {
+        *self.shared.target.lock().unwrap_or_else(PoisonError::into_inner) = Some(target);
+    }
+
     /// Its address.
     pub fn address(&self) -> SocketAddr {
         self.gate.address()
@@ -154,7 +170,11 @@
 
 async fn connection(caller: TcpStream, shared: Arc<Shared>) {
     shared.connections.fetch_add(1, Ordering::Relaxed);
-    let Ok(target) = TcpStream::connect(shared.target).await else {
+    let address = *shared.target.lock().unwrap_or_else(PoisonError::into_inner);
+    let Some(address) = address else {
+        return;
+    };
+    let Ok(target) = TcpStream::connect(address).await else {
         return;
     };
     let _ = target.set_nodelay(true);
--- a/crates/testenv/src/fleet.rs
+++ b/crates/testenv/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs, io,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
 };
 
@@ -177,15 +177,12 @@
         let proxy = Proxy::start(self.platform.address()).await?;
         let zones = &options.availability_zones;
         let mut more = format!("keys: {}\n{}", self.key_path().display(), options.more);
-        let mut control_listen = SocketAddr::from(([127, 0, 0, 1], 0));
         if options.control_proxies {
-            control_listen = free_address()?;
-            let control_proxy = Proxy::start(control_listen).await?;
+            let control_proxy = Proxy::without_target().await?;
             more = format!("control_address: \"{}\"\n{more}", control_proxy.address());
             self.control_proxies.push(control_proxy);
         }
         let settings = InstanceSettings {
-            control_listen,
             name: format!("instance-{number}"),
             availability_zone: zones[number % zones.len()].clone(),
             log: proxy.address(),
@@ -196,7 +193,17 @@
             more,
         };
         self.platform_proxies.push(proxy);
-        Instance::start(&self.binary, self.dir.path(), settings).await
+        self.run(number, settings).await
+    }
+
+    /// Runs an instance, and points the proxy before its control address at it.
+    async fn run(&self, number: usize, settings: InstanceSettings) -> io::Result<Instance> {
+        let instance = Instance::start(&self.binary, self.dir.path(), settings).await?;
+        let proxy = self.control_proxies.get(number);
+        if let (Some(proxy), Some(address)) = (proxy, instance.control_listen()) {
+            proxy.set_target(address);
+        }
+        Ok(instance)
     }
 
     /// Starts an instance anew in place of one that ended, and waits until it is ready.
@@ -206,8 +213,7 @@
     pub async fn restart(&mut self, number: usize) -> io::Result<()> {
         self.instances[number].kill();
         let settings = self.instances[number].settings.clone();
-        let instance = Instance::start(&self.binary, self.dir.path(), settings).await?;
-        self.instances[number] = instance;
+        self.instances[number] = self.run(number, settings).await?;
         self.list_all();
         self.instances[number].wait_ready().await;
         Ok(())
@@ -260,8 +266,3 @@
         self.platform.set_entries(instances.chain(endpoints).collect());
     }
 }
-
-/// An address that was free just now, for a listener whose address must be known before.
-fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
-}
--- a/crates/testenv/src/instance.rs
+++ b/crates/testenv/src/instance.rs
@@ -30,8 +30,6 @@
     pub name: String,
     /// Its availability zone.
     pub availability_zone: String,
-    /// Where it listens for peers and operators; port 0 takes any free port.
-    pub control_listen: SocketAddr,
     /// The platform's log.
     pub log: SocketAddr,
     /// The platform's list.
@@ -51,6 +49,7 @@
 struct Listening {
     address: SocketAddr,
     control_address: Option<SocketAddr>,
+    control_listen: Option<SocketAddr>,
 }
 
 /// A running daemon. Dropping it kills the process.
@@ -66,14 +65,14 @@
 impl InstanceSettings {
     fn yaml(&self) -> String {
         let mut yaml = String::new();
-        let InstanceSettings { name, availability_zone, control_listen, log, list, .. } = self;
+        let InstanceSettings { name, availability_zone, log, list, .. } = self;
         let (retention_ms, notice_ms) = (self.retention_ms, self.notice_ms);
         let written = write!(
             yaml,
             "instance: {name}\n\
              availability_zone: {availability_zone}\n\
              listen: 127.0.0.1:0\n\
-             control_listen: \"{control_listen}\"\n\
+             control_listen: 127.0.0.1:0\n\
              platform: {{ log: \"{log}\", list: \"{list}\", retention_ms: {retention_ms} }}\n\
              stop: {{ notice_ms: {notice_ms} }}\n\
              limits: {{ {} }}\n\
@@ -131,6 +130,11 @@
         self.listening.control_address
     }
 
+    /// Address it listens on for peers and operators, behind any proxy.
+    pub fn control_listen(&self) -> Option<SocketAddr> {
+        self.listening.control_listen
+    }
+
     /// What it logged so far, a line each.
     pub fn log(&self) -> Vec<String> {
         self.lines.lock().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/tool/src/stage.rs
+++ b/crates/tool/src/stage.rs
@@ -127,11 +127,11 @@
         for i in 0..count {
             let zone = self.zone(i);
             let listen = if i == 0 { listen } else { loopback() };
-            let control = free_address()?;
-            let settings = parse_settings(&self.settings(i, &zone, listen, control))?;
+            let settings = parse_settings(&self.settings(i, &zone, listen, loopback()))?;
             let running = tanagergauge_daemon::start(settings).await;
             let running = running.map_err(|it| Failure::Refused(it.to_string()))?;
-            self.entries.push(Entry { address: running.address, control: Some(control), zone });
+            let control = Some(running.control_address);
+            self.entries.push(Entry { address: running.address, control, zone });
             self.instances.push(running);
         }
         self.list();
