--- a/crates/tool/tests/docs.rs
+++ b/crates/tool/tests/docs.rs
@@ -46,14 +46,16 @@
 
 #[test]
 fn every_setting_is_explained() {
-    let source = file("crates/daemon/src/settings.rs");
+    let sources = ["settings", "idempotency", "policy"];
+    let sources = sources.map(|it| file(&format!("crates/daemon/src/{it}.rs")));
+    let source = sources.concat();
     let fields = source.lines().filter_map(|it| it.strip_prefix("    pub "));
     let fields = fields.filter_map(|it| it.split_once(": ")).map(|it| it.0.to_owned());
     let fields = fields.filter(|it| !it.contains(' '));
     let page = file("docs/OPERATIONS.md");
     let named =
         |field: &str| page.contains(&format!("`{field}`")) || page.contains(&format!(".{field}`"));
-    let groups = ["platform", "limits", "stop", "policy"];
+    let groups = ["platform", "limits", "stop", "policy", "idempotency"];
     let missing: Vec<String> =
         fields.filter(|it| !groups.contains(&it.as_str()) && !named(it)).collect();
     assert!(missing.is_empty(), "docs/OPERATIONS.md does not name {missing:?}");
