--- a/crates/core/src/keytable.rs
+++ b/crates/core/src/keytable.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Name, Reason,
-    key::{Fingerprint, KeyId},
+    key::{KeyId, RequestDigest},
 };
 
 /// Bytes a kept answer costs besides its body.
@@ -53,7 +53,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Entry {
     state: KeyState,
-    fingerprint: Option<Fingerprint>,
+    digest: Option<RequestDigest>,
     expires_unix_ms: u64,
 }
 
@@ -156,7 +156,7 @@
         if self.entries.len() >= self.max_keys {
             return Reserve::Full;
         }
-        let entry = Entry { state: KeyState::Reserved, fingerprint: None, expires_unix_ms };
+        let entry = Entry { state: KeyState::Reserved, digest: None, expires_unix_ms };
         self.entries.insert(key, entry);
         self.by_expiry.insert((expires_unix_ms, key));
         Reserve::Kept
@@ -172,12 +172,12 @@
     }
 
     /// Takes a request with a key that this process owns.
-    pub fn offer(&mut self, key: KeyId, fingerprint: Fingerprint, now_unix_ms: u64) -> Offer {
+    pub fn offer(&mut self, key: KeyId, digest: RequestDigest, now_unix_ms: u64) -> Offer {
         self.advance(now_unix_ms);
         let Some(entry) = self.entries.get_mut(&key) else {
             return Offer::Unknown(Reason::KeyExpired);
         };
-        if *entry.fingerprint.get_or_insert(fingerprint) != fingerprint {
+        if *entry.digest.get_or_insert(digest) != digest {
             return Offer::Unknown(Reason::KeyReused);
         }
         match &entry.state {
--- a/crates/core/tests/model_claims.rs
+++ b/crates/core/tests/model_claims.rs
@@ -15,7 +15,7 @@
 use tanagergauge_core::{
     Name, Reason,
     claim::{Claim, ClaimIndex, ClaimRecord, Standing, Winner},
-    key::{Fingerprint, KeyId, KeyLimits},
+    key::{KeyId, KeyLimits, RequestDigest},
     keytable::{Answer, Begin, KeyState, KeyTable, Offer, Reserve},
     log::{LogRecord, Page},
     owner::Owner,
@@ -112,8 +112,8 @@
 }
 
 static KEY: LazyLock<KeyId> = LazyLock::new(|| KeyId::new(&Name::from("account"), "key"));
-static FINGERPRINT: LazyLock<Fingerprint> =
-    LazyLock::new(|| Fingerprint::new("class", "POST", "/", b"body"));
+static DIGEST: LazyLock<RequestDigest> =
+    LazyLock::new(|| RequestDigest::new("class", "POST", "/", b"body"));
 static ANSWER: LazyLock<Arc<Answer>> = LazyLock::new(|| {
     Arc::new(Answer { status: 200, headers: Vec::new(), body: Arc::from(&b"done"[..]) })
 });
@@ -364,7 +364,7 @@
 
     fn own(&self, world: &mut World, at: usize) {
         let now_ms = self.clock_ms(world);
-        match world.instances[at].table.offer(key(), *FINGERPRINT, now_ms) {
+        match world.instances[at].table.offer(key(), *DIGEST, now_ms) {
             Offer::Run => world.requests.push(Phase::Admitted(at)),
             Offer::Wait => world.requests.push(Phase::Waiting(at)),
             Offer::Answer(_) => world.told_answered = true,
@@ -436,7 +436,7 @@
 
 fn record(offset: usize, (time, at, incarnation): (u64, usize, u64), mutant: Mutant) -> LogRecord {
     let key_unix_ms = if mutant == Mutant::NoAge { time } else { KEY_UNIX_MS };
-    let claim = Claim { key: key(), key_unix_ms, fingerprint: *FINGERPRINT };
+    let claim = Claim { key: key(), key_unix_ms, digest: *DIGEST };
     let owner = Owner { instance: Name::from(NAMES[at]), incarnation };
     let payload = ClaimRecord { owner, claims: vec![claim] }.encode();
     LogRecord { offset: offset as u64, appended_unix_ms: time, payload }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -17,9 +17,10 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::{self, Answer, Failure},
+    attempt::{self, Answer, Failure, Ran},
     body::AnswerBody,
     headers,
+    once::Hold,
     refusal::Refusal,
     shared::Shared,
     work::{Attempts, Next, Work},
@@ -67,14 +68,20 @@
     }
 }
 
-/// Runs a request until an endpoint's whole answer is here.
+/// Runs a request until an endpoint's whole answer is here. With a hold, its key says
+/// whether it may be sent.
 ///
 /// # Errors
 /// What the caller is told if there is none.
-pub async fn run(shared: &Shared, work: &Work) -> Result<WholeAnswer, Refusal> {
+pub async fn run(
+    shared: &Shared,
+    work: &Work,
+    hold: Option<&Hold>,
+) -> Result<WholeAnswer, Refusal> {
     let mut attempts = Attempts::default();
     loop {
         let permit = attempts.begin(shared, work, 0).await?;
+        hold.map_or(Ok(()), Hold::begin)?;
         let endpoint = Arc::clone(&permit.endpoint);
         let failure = match one_attempt(shared, work, &endpoint, attempts.number()).await {
             Ok(answer) => {
@@ -85,6 +92,9 @@
             }
             Err(failure) => failure,
         };
+        if let (Some(hold), Ran::No) = (hold, failure.ran) {
+            hold.retract();
+        }
         note_leaving(shared, &endpoint.name, failure.leaving);
         permit.failed(failure).await;
         match attempts.failed(shared, &endpoint.name, failure, work) {
