--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -35,8 +35,6 @@
 /// Asks a peer for its copy of the configuration: nothing, answered by `Option<Snapshot>`.
 pub const SHEET: &str = "peer_sheet";
 
-/// Peers of the zone that an urgent fact is pushed to.
-const PUSH_FANOUT: usize = 3;
 /// Longest wait for a peer's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Longest wait for a peer's copy of the configuration.
@@ -44,11 +42,11 @@
 /// How long the log may take to bring a sheet that a peer has already, in milliseconds.
 const SHEET_LAG_MS: u64 = 2500;
 /// Bytes of the platform's list that an instance reads a second, on average.
-const LIST_BYTES_PER_S: u64 = 500;
+const LIST_BYTES_PER_S: u64 = 4_000;
 /// About what an entry of the list takes, in bytes.
 const LIST_ENTRY_BYTES: u64 = 160;
 /// Shortest time between two reads of the list, in milliseconds.
-const LIST_MIN_MS: u64 = 2_000;
+const LIST_MIN_MS: u64 = 1_000;
 
 /// What the actor is started with.
 #[derive(Debug)]
@@ -276,7 +274,7 @@
         let facts: Vec<Fact> = urgent.take(MESSAGE_FACTS).cloned().collect();
         if !facts.is_empty() {
             let push = Push { facts };
-            for target in self.gossip.push_targets(PUSH_FANOUT, crosses, now, rand::random) {
+            for target in self.gossip.push_targets(crosses, now, rand::random) {
                 tokio::spawn(push_to(Arc::clone(&self.own.rpc), target, push.clone()));
             }
         }
@@ -284,7 +282,7 @@
 
     fn set_state(&mut self, state: MemberState, reply: oneshot::Sender<()>, now: Now) {
         let fact = self.gossip.set_state(state, now);
-        let targets = self.gossip.push_targets(PUSH_FANOUT, true, now, rand::random);
+        let targets = self.gossip.push_targets(true, now, rand::random);
         let push = Push { facts: fact.into_iter().collect() };
         let pushes: Vec<_> = targets
             .into_iter()
