--- a/crates/testenv/src/instance.rs
+++ b/crates/testenv/src/instance.rs
@@ -131,6 +131,11 @@
         self.listening.control_address
     }
 
+    /// Id of its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// What it logged so far, a line each.
     pub fn log(&self) -> Vec<String> {
         self.lines.lock().unwrap_or_else(PoisonError::into_inner).clone()
