--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -7,7 +7,7 @@
     Name, Reason,
     batch::{Batch, Due, MAX_CLAIMS},
     claim::{Claim, ClaimIndex, ClaimRecord, Standing},
-    key::{Fingerprint, KeyAge, KeyId, KeyLimits, uuid_unix_ms},
+    key::{KeyAge, KeyId, KeyLimits, RequestDigest, uuid_unix_ms},
     keytable::{Answer, Begin, KeyState, KeyTable, Offer, Reserve},
     log::{LogRecord, Page},
     owner::Owner,
@@ -20,8 +20,8 @@
     KeyId::new(&Name::from("account"), text)
 }
 
-fn print(body: &str) -> Fingerprint {
-    Fingerprint::new("class", "POST", "/", body.as_bytes())
+fn print(body: &str) -> RequestDigest {
+    RequestDigest::new("class", "POST", "/", body.as_bytes())
 }
 
 fn owner(instance: &str) -> Owner {
@@ -33,7 +33,7 @@
 }
 
 fn claim(text: &str, key_unix_ms: u64) -> Claim {
-    Claim { key: key(text), key_unix_ms, fingerprint: print("") }
+    Claim { key: key(text), key_unix_ms, digest: print("") }
 }
 
 /// Reads records given by offset, time of the append, instance and the claim's key time.
--- a/crates/daemon/examples/slopes.rs
+++ b/crates/daemon/examples/slopes.rs
@@ -6,7 +6,6 @@
 
 use std::{
     fs, io,
-    net::SocketAddr,
     path::PathBuf,
     sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
@@ -217,7 +216,6 @@
     InstanceSettings {
         name: format!("entry-{number}"),
         availability_zone: format!("zone-{}", number % row.zones),
-        control_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
         log: platform.address(),
         list: platform.address(),
         retention_ms: 86_400_000,
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -10,13 +10,17 @@
     header::{HeaderName, HeaderValue, TRANSFER_ENCODING},
 };
 use serde::{Deserialize, de::IgnoredAny};
-use tanagergauge_core::{Name, Outcome, Reason, sheet::Kind};
+use tanagergauge_core::{
+    Name, Outcome, Reason,
+    sheet::{Endpoint, Kind},
+};
 use tokio::time::timeout;
 
 use crate::{
-    attempt::{self, Answer, Failure},
+    attempt::{self, Answer, Failure, Ran},
     body::AnswerBody,
     headers,
+    once::Hold,
     refusal::Refusal,
     shared::Shared,
     work::{Attempts, Next, Work},
@@ -64,16 +68,22 @@
     }
 }
 
-/// Runs a request until an endpoint's whole answer is here.
+/// Runs a request until an endpoint's whole answer is here. With a hold, its key says
+/// whether it may be sent.
 ///
 /// # Errors
 /// What the caller is told if there is none.
-pub async fn run(shared: &Shared, work: &Work) -> Result<WholeAnswer, Refusal> {
+pub async fn run(
+    shared: &Shared,
+    work: &Work,
+    hold: Option<&Hold>,
+) -> Result<WholeAnswer, Refusal> {
     let mut attempts = Attempts::default();
     loop {
         let permit = attempts.begin(shared, work, 0).await?;
+        hold.map_or(Ok(()), Hold::begin)?;
         let endpoint = Arc::clone(&permit.endpoint);
-        let failure = match one_attempt(shared, work, endpoint.address, attempts.number()).await {
+        let failure = match one_attempt(shared, work, &endpoint, attempts.number()).await {
             Ok(answer) => {
                 if answer.status.is_success() {
                     permit.answered(Some(answer.tokens));
@@ -82,6 +92,9 @@
             }
             Err(failure) => failure,
         };
+        if let (Some(hold), Ran::No) = (hold, failure.ran) {
+            hold.retract();
+        }
         note_leaving(shared, &endpoint.name, failure.leaving);
         permit.failed(failure).await;
         match attempts.failed(shared, &endpoint.name, failure, work) {
@@ -101,12 +114,14 @@
 async fn one_attempt(
     shared: &Shared,
     work: &Work,
-    address: std::net::SocketAddr,
+    endpoint: &Endpoint,
     number: u32,
 ) -> Result<WholeAnswer, Failure> {
     let left = work.time_left(shared.clock.now_ms()) + GRACE;
     let whole = async {
+        let address = endpoint.address;
         let answer = attempt::open(&shared.pool, address, &work.call, number, left).await?;
+        note_leaving(shared, &endpoint.name, answer.leaving);
         read_whole(shared, work, answer).await
     };
     let answered = timeout(left, whole).await;
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -20,7 +20,7 @@
     control::{self, ControlContext, ControlMethod},
     dispatcher,
     fleet_view::FleetView,
-    follower,
+    follower, forward,
     instance::StartError,
     keyring::{KeyRing, Rights},
     meter::{Meter, Partner},
@@ -83,6 +83,8 @@
     pub rpc: Arc<RpcClient>,
     /// Address by which peers and operators reach this instance.
     pub control_address: SocketAddr,
+    /// Address it listens on for them; another one behind an address translation.
+    pub control_listen: SocketAddr,
 }
 
 impl Fleet {
@@ -141,7 +143,7 @@
     let message = dispatcher::Message::Fleet(view.clone(), peers.clone());
     // The actor is gone only when the process stops.
     let _ = shared.dispatcher.send_message(message);
-    let fleet = Fleet { peers, view, rpc, control_address: own };
+    let fleet = Fleet { peers, view, rpc, control_address: own, control_listen: bound };
     let context = ControlContext { trust, meter: Arc::clone(&meters.peers), own };
     let methods = methods(&shared, &fleet, &follower);
     tokio::spawn(control::serve(listener, context, methods));
@@ -235,7 +237,7 @@
     fleet: &Fleet,
     follower: &ActorRef<follower::Message>,
 ) -> Vec<ControlMethod> {
-    let mut methods = peer_methods(fleet, follower);
+    let mut methods = peer_methods(shared, fleet, follower);
     let operator = Operator {
         shared: Arc::clone(shared),
         fleet: fleet.view.clone(),
@@ -245,7 +247,11 @@
     methods
 }
 
-fn peer_methods(fleet: &Fleet, follower: &ActorRef<follower::Message>) -> Vec<ControlMethod> {
+fn peer_methods(
+    shared: &Arc<Shared>,
+    fleet: &Fleet,
+    follower: &ActorRef<follower::Message>,
+) -> Vec<ControlMethod> {
     let peers = fleet.peers.clone();
     let pull = ControlMethod::new(peers::PULL, Rights::Peer, move |pull| {
         let (reply, answer) = oneshot::channel();
@@ -266,7 +272,11 @@
         let _ = follower.send_message(follower::Message::Copy(reply));
         async move { copy.await.ok().flatten() }
     });
-    vec![pull, push, sheet]
+    let shared = Arc::clone(shared);
+    let run = ControlMethod::new(forward::RUN, Rights::Peer, move |question| {
+        forward::answer(Arc::clone(&shared), question)
+    });
+    vec![pull, push, sheet, run]
 }
 
 fn operator_methods(operator: &Operator) -> Vec<ControlMethod> {
