--- a/crates/testenv/src/instance.rs
+++ b/crates/testenv/src/instance.rs
@@ -130,6 +130,11 @@
         self.listening.control_address
     }
 
+    /// Id of its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Address it listens on for peers and operators, behind any proxy.
     pub fn control_listen(&self) -> Option<SocketAddr> {
         self.listening.control_listen
