Bound what is read ahead of an endpoint's answer

A buffer of 32 KB bounds that; it bounds the head of an endpoint's answer as well.

Tests of the daemon: 157 passed, 0 failed.

--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -22,6 +22,9 @@
 /// Idle connections kept for each endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
 
+/// What is read ahead of an answer at most, and the largest head of one.
+const BUFFER_BYTES: usize = 32 << 10;
+
 /// A connection that can send one request at a time.
 pub type Connection = SendRequest<Full<Bytes>>;
 
@@ -117,7 +120,8 @@
 where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
-    let opened = http1::handshake(TokioIo::new(socket)).await;
+    let opened =
+        http1::Builder::new().max_buf_size(BUFFER_BYTES).handshake(TokioIo::new(socket)).await;
     let (sender, connection) = opened.map_err(|_| ConnectFailed)?;
     tokio::spawn(async move {
         // A broken connection shows at the request that uses it.
