--- a/crates/daemon/src/ending.rs
+++ b/crates/daemon/src/ending.rs
@@ -5,6 +5,7 @@
 use tanagergauge_core::Reason;
 
 use crate::{
+    attainment::Delivery,
     refusal::Refusal,
     shared::Shared,
     work::{Ended, Work},
@@ -27,7 +28,8 @@
     /// Records how the request ended.
     pub fn record(mut self, ended: Ended) {
         self.is_recorded = true;
-        self.work.ended(&self.shared, ended);
+        let delivery = self.work.delivery(&self.shared, None, 0);
+        self.work.ended(&self.shared, ended, delivery);
     }
 
     /// Leaves the recording to whoever delivers the rest of the answer.
@@ -40,7 +42,7 @@
     fn drop(&mut self) {
         if !self.is_recorded {
             let refusal = Refusal::unknown(Reason::CallerLeft, "the caller left");
-            self.work.ended(&self.shared, Ended::Refused(refusal));
+            self.work.ended(&self.shared, Ended::Refused(refusal), Delivery::default());
         }
     }
 }
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    attainment::Attainment,
     clock::Clock,
     counters,
     dispatcher::{self, Dispatcher},
@@ -98,6 +99,7 @@
         streams: Arc::new(Semaphore::new(settings.limits.streams)),
         progress: Progress::default(),
         journal: Journal::default(),
+        attainment: Attainment::default(),
         settings,
     });
     let meters = Meters::default();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry instance: takes callers' requests, queues them by tier, sends them
 //! to endpoints and tells every caller truthfully what became of its request.
 
+pub mod attainment;
 pub mod attempt;
 pub mod body;
 pub mod caller;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,6 +1,6 @@
 //! What operators may ask an instance.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use tanagergauge_core::{MemberState, Name};
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    attainment::ClassCounts,
     fleet_view::FleetView,
     journal::Event,
     rpc::RpcClient,
@@ -51,6 +52,8 @@
     pub members: Vec<MemberStatus>,
     /// Endpoints that take no new work.
     pub leaving_endpoints: Vec<Name>,
+    /// What became of each class's requests here since the instance started.
+    pub classes: BTreeMap<Name, ClassCounts>,
     /// Contents kept away from endpoints.
     pub quarantines: u64,
 }
@@ -128,6 +131,7 @@
             sheet_version: self.shared.view.borrow().as_ref().map(|it| it.version),
             in_progress: self.shared.progress.count() as u64,
             members: members.collect(),
+            classes: self.shared.attainment.counts(),
             leaving_endpoints: leaving.map(|(name, _)| name.clone()).collect(),
             quarantines: fleet.quarantines.len() as u64,
         }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -10,8 +10,8 @@
 use tokio::sync::{Semaphore, watch};
 
 use crate::{
-    clock::Clock, dispatcher, journal::Journal, keys::Keys, peers, pool::Pool, progress::Progress,
-    refusal::Refusal, settings::Settings, view::View,
+    attainment::Attainment, clock::Clock, dispatcher, journal::Journal, keys::Keys, peers,
+    pool::Pool, progress::Progress, refusal::Refusal, settings::Settings, view::View,
 };
 
 /// How far a planned stop has come. It only moves forward.
@@ -52,6 +52,8 @@
     pub progress: Progress,
     /// The latest decisions.
     pub journal: Journal,
+    /// What became of each class's requests.
+    pub attainment: Attainment,
 }
 
 impl Shared {
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -121,7 +121,8 @@
         Relayed::Event(first) => Ok(relay.answer(first, false, slot)),
         Relayed::Done(first) => Ok(relay.answer(first, true, slot)),
         Relayed::Whole(answer) => {
-            relay.work.ended(&relay.shared, Ended::Answered);
+            let delivery = relay.work.delivery(&relay.shared, None, 0);
+            relay.work.ended(&relay.shared, Ended::Answered, delivery);
             Ok(answer.response(&relay.work.call.request_id))
         }
         Relayed::Failed(refusal) => Err(refusal),
@@ -149,13 +150,19 @@
         counters::first_token(class, Duration::from_millis(waited_ms));
         let in_progress = self.shared.progress.begin();
         tokio::spawn(async move {
-            self.pump(sender, first, is_done).await;
+            self.pump(sender, first, is_done, waited_ms).await;
             drop((slot, in_progress));
         });
         response
     }
 
-    async fn pump(mut self, sender: mpsc::Sender<BodyChunk>, first: Bytes, is_done: bool) {
+    async fn pump(
+        mut self,
+        sender: mpsc::Sender<BodyChunk>,
+        first: Bytes,
+        is_done: bool,
+        first_token_ms: u64,
+    ) {
         let caller_left = Refusal::unknown(Reason::CallerLeft, "the caller left");
         let mut ended = is_done.then_some(Ended::Answered);
         if sender.send(BodyChunk::Data(first)).await.is_err() {
@@ -177,7 +184,9 @@
             let _ = sender.send(BodyChunk::End).await;
         }
         if let Some(ended) = ended {
-            self.work.ended(&self.shared, ended);
+            let (first, tokens) = (Some(first_token_ms), self.delivered.tokens);
+            let delivery = self.work.delivery(&self.shared, first, tokens);
+            self.work.ended(&self.shared, ended, delivery);
         }
         counters::delivered(&self.work.caller.class.class.name, self.delivered.tokens);
     }
--- a/crates/daemon/src/work.rs
+++ b/crates/daemon/src/work.rs
@@ -5,6 +5,7 @@
 use tanagergauge_core::{Name, Outcome, Reason, prefix::PrefixHashes, quarantine::Fingerprint};
 
 use crate::{
+    attainment::Delivery,
     attempt::{Call, Failure, Ran},
     caller::Caller,
     counters,
@@ -74,12 +75,13 @@
 
 impl Work {
     /// Takes note of the end of the request. Called once for each request.
-    pub fn ended(&self, shared: &Shared, ended: Ended) {
+    pub fn ended(&self, shared: &Shared, ended: Ended, delivery: Delivery) {
         let (outcome, reason, detail) = match ended {
             Ended::Answered => (Outcome::Answered, None, None),
             Ended::Refused(it) => (it.outcome, Some(it.reason), Some(it.message)),
         };
         counters::outcome(&self.caller.class.class.name, outcome);
+        shared.attainment.record(&self.caller.class.class, outcome, delivery);
         if let Some(reason) = reason {
             counters::refusal(reason);
         }
@@ -87,6 +89,12 @@
         shared.journal.record(Event { outcome: Some(outcome), reason, detail, ..event });
     }
 
+    /// How an answer that ends now was delivered.
+    pub fn delivery(&self, shared: &Shared, first_token_ms: Option<u64>, tokens: u64) -> Delivery {
+        let whole_answer_ms = shared.clock.now_ms().saturating_sub(self.arrived_ms);
+        Delivery { first_token_ms, whole_answer_ms, tokens }
+    }
+
     /// An event of this request.
     pub fn event(&self, kind: EventKind) -> Event {
         Event {
--- a/crates/tool/src/operate.rs
+++ b/crates/tool/src/operate.rs
@@ -16,6 +16,7 @@
 use crate::{
     failure::Failure,
     output::{Grid, Output},
+    tally::percent,
 };
 
 /// Longest wait for an instance's answer, beyond what it waits for its peers.
@@ -114,7 +115,23 @@
             format!("{}{suspect}", member.state),
         ]);
     }
-    format!("{text}\n{grid}")
+    format!("{text}\n{grid}\n{}", class_table(status))
+}
+
+fn class_table(status: &Status) -> Grid {
+    let head = ["class", "answered", "not run", "unknown", "attained"];
+    let mut grid = Grid::new(&head, 1);
+    for (class, counts) in &status.classes {
+        let ended = counts.answered + counts.not_run + counts.unknown;
+        grid.line(vec![
+            class.to_string(),
+            counts.answered.to_string(),
+            counts.not_run.to_string(),
+            counts.unknown.to_string(),
+            format!("{:.1} %", percent(counts.attained, ended)),
+        ]);
+    }
+    grid
 }
 
 /// `events`: the latest decisions of one instance.
--- a/crates/tool/tests/cli.rs
+++ b/crates/tool/tests/cli.rs
@@ -279,6 +279,10 @@
     let status = operator("status", &["--output", "json"]);
     assert_eq!(json(&status)["is_ready"], true);
     assert_eq!(json(&status)["sheet_version"], 0);
+    let classes = json(&status)["classes"].clone();
+    assert_eq!(classes.as_object().map(serde_json::Map::len), Some(7));
+    assert_eq!(classes["booth-rewrite"]["answered"], 1);
+    assert_eq!(classes["cue-publish"]["answered"], 1);
     let latest = operator("events", &["--limit", "3", "--output", "json"]);
     assert_eq!(json(&latest).as_array().map(Vec::len), Some(3));
 }
