--- a/crates/testenv/src/fleet.rs
+++ b/crates/testenv/src/fleet.rs
@@ -204,12 +204,21 @@
     /// # Errors
     /// It did not start.
     pub async fn restart(&mut self, number: usize) -> io::Result<()> {
+        self.restart_unready(number).await?;
+        self.instances[number].wait_ready().await;
+        Ok(())
+    }
+
+    /// Starts an instance anew in place of one that ended, and waits only until it listens.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub async fn restart_unready(&mut self, number: usize) -> io::Result<()> {
         self.instances[number].kill();
         let settings = self.instances[number].settings.clone();
         let instance = Instance::start(&self.binary, self.dir.path(), settings).await?;
         self.instances[number] = instance;
         self.list_all();
-        self.instances[number].wait_ready().await;
         Ok(())
     }
 
