Count distinct requests in the soak's summary

Cause: the target is stated in requests that may not be repeated; the summary counted their sendings, of which one request has up to four.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -4,7 +4,7 @@
 //! `TANAGERGAUGE_SOAK_SEED` the seed.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     env,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -368,13 +368,13 @@
 }
 
 fn summary(sent: &[Sent], faults: usize) -> String {
-    let with_key = sent.iter().filter(|it| it.key.is_some());
+    let keys: HashSet<_> = sent.iter().filter_map(|it| it.key.as_ref()).collect();
     let count = |outcome| sent.iter().filter(|it| it.answer.outcome() == outcome).count();
     format!(
-        "{faults} faults; {} sendings, {} of requests that may not be repeated; \
+        "{faults} faults; {} sendings; {} requests that may not be repeated; \
          answered {}, not run {}, unknown {}, told nothing {}",
         sent.len(),
-        with_key.count(),
+        keys.len(),
         count(Some(Outcome::Answered)),
         count(Some(Outcome::NotRun)),
         count(Some(Outcome::Unknown)),
