Split the fake platform into its log and its list

Streams and the list's history now have modules of their own, of one type and its parts each; the names that tests use stay where they were. Behaviour is unchanged.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,8 @@
 mod chat;
 mod framing;
 mod gate;
+mod list;
+mod log;
 mod prefix;
 mod server;
 
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,25 +1,30 @@
 //! The platform's append-only log and its lagging list.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::HashMap,
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use hyper::{Method, Request, StatusCode};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use tokio::{sync::watch, time::Instant};
 
-use crate::server::{Dropped, Reply, Server, error, json, pause_ms};
+use crate::{
+    list::ListHistory,
+    log::{ReadAnswer, ReadQuery, Stream},
+    server::{Dropped, Reply, Server, error, json, pause_ms},
+};
+pub use crate::{
+    list::{Entry, EntryKind, EntryState},
+    log::Record,
+};
 
 const LOG_PATH: &str = "/v1/log/";
 
-const DEFAULT_READ_LIMIT: usize = 1_000;
-
 const MAX_WAIT_MS: u64 = 60_000;
 
 /// Limits of the platform.
@@ -77,54 +82,6 @@
     pub lost_answers: u32,
 }
 
-/// An entry of the list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// Its name.
-    pub name: String,
-    /// What it is.
-    pub kind: EntryKind,
-    /// Where it takes requests.
-    pub address: SocketAddr,
-    /// Where an instance takes calls of peers and operators.
-    pub control_address: Option<SocketAddr>,
-    /// The availability zone it stands in.
-    pub availability_zone: String,
-    /// Whether it is about to leave.
-    pub state: EntryState,
-}
-
-/// Kind of an entry of the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum EntryKind {
-    /// An instance of the system.
-    Instance,
-    /// An endpoint.
-    Endpoint,
-}
-
-/// State of an entry of the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum EntryState {
-    /// It takes work.
-    Live,
-    /// It is about to leave.
-    Leaving,
-}
-
-/// A record of the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Record {
-    /// Its place in the stream.
-    pub offset: u64,
-    /// When it was appended, in milliseconds of Unix time.
-    pub appended_unix_ms: u64,
-    /// Its content.
-    pub payload: Bytes,
-}
-
 /// The platform on a port of its own.
 pub struct Platform {
     server: Server,
@@ -141,21 +98,13 @@
 
 struct State {
     streams: HashMap<String, Stream>,
-    /// Versions of the list, oldest first, each with the moment it was set.
-    lists: VecDeque<(Instant, Vec<Entry>)>,
+    list: ListHistory,
     appends: u64,
     received_appends: u64,
     second: Instant,
     appends_this_second: u32,
 }
 
-/// A stream of the log. Offsets never come back, also when records have gone.
-#[derive(Default)]
-struct Stream {
-    next_offset: u64,
-    records: VecDeque<Record>,
-}
-
 impl Platform {
     /// Starts an empty platform on a free port of loopback.
     ///
@@ -197,13 +146,13 @@
     pub fn records(&self, stream: &str) -> Vec<Record> {
         let mut state = self.shared.state();
         state.expire(&self.shared.settings);
-        state.streams.get(stream).map(|it| it.records.iter().cloned().collect()).unwrap_or_default()
+        state.streams.get(stream).map(Stream::records).unwrap_or_default()
     }
 
     /// Forgets the records of a stream before an offset.
     pub fn trim(&self, stream: &str, before_offset: u64) {
         if let Some(stream) = self.shared.state().streams.get_mut(stream) {
-            stream.records.retain(|it| it.offset >= before_offset);
+            stream.trim(before_offset);
         }
     }
 
@@ -224,12 +173,12 @@
 
     /// Sets the list; readers see it once the lag has passed.
     pub fn set_entries(&self, entries: Vec<Entry>) {
-        self.shared.state().lists.push_back((Instant::now(), entries));
+        self.shared.state().list.set(entries);
     }
 
     /// The list as last set.
     pub fn entries(&self) -> Vec<Entry> {
-        self.shared.state().lists.back().map(|it| it.1.clone()).unwrap_or_default()
+        self.shared.state().list.latest()
     }
 }
 
@@ -237,7 +186,7 @@
     fn new(settings: PlatformSettings) -> Shared {
         let state = State {
             streams: HashMap::new(),
-            lists: VecDeque::new(),
+            list: ListHistory::default(),
             appends: 0,
             received_appends: 0,
             second: Instant::now(),
@@ -278,25 +227,14 @@
 
 impl State {
     fn append(&mut self, stream: &str, payload: Bytes) -> u64 {
-        if !self.streams.contains_key(stream) {
-            self.streams.insert(stream.to_owned(), Stream::default());
-        }
         self.appends += 1;
-        let stream = self.streams.entry(stream.to_owned()).or_default();
-        let offset = stream.next_offset;
-        stream.next_offset += 1;
-        stream.records.push_back(Record { offset, appended_unix_ms: unix_ms(), payload });
-        offset
+        self.streams.entry(stream.to_owned()).or_default().append(payload)
     }
 
     fn expire(&mut self, settings: &PlatformSettings) {
         let oldest_unix_ms = unix_ms().saturating_sub(settings.max_age_ms);
         for stream in self.streams.values_mut() {
-            while stream.records.len() > settings.max_records
-                || stream.records.front().is_some_and(|it| it.appended_unix_ms < oldest_unix_ms)
-            {
-                stream.records.pop_front();
-            }
+            stream.expire(settings.max_records, oldest_unix_ms);
         }
     }
 
@@ -312,27 +250,12 @@
         self.appends_this_second <= max_appends_per_s
     }
 
-    fn read(&mut self, stream: &str, query: &ReadQuery) -> ReadAnswer {
-        let empty = Stream::default();
-        let stream = self.streams.get(stream).unwrap_or(&empty);
-        let wanted = stream.records.iter().filter(|it| it.offset >= query.from);
-        ReadAnswer {
-            first_offset: stream.records.front().map_or(stream.next_offset, |it| it.offset),
-            next_offset: stream.next_offset,
-            records: wanted.take(query.limit).map(ReadRecord::from).collect(),
+    fn read(&self, stream: &str, query: &ReadQuery) -> ReadAnswer {
+        match self.streams.get(stream) {
+            Some(stream) => stream.read(query),
+            None => Stream::default().read(query),
         }
     }
-
-    fn list(&mut self, lag_ms: u64) -> ListAnswer {
-        let lag = Duration::from_millis(lag_ms);
-        let now = Instant::now();
-        while self.lists.get(1).is_some_and(|it| now - it.0 >= lag) {
-            self.lists.pop_front();
-        }
-        let seen = self.lists.front().filter(|it| now - it.0 >= lag);
-        let entries = seen.map(|it| it.1.clone()).unwrap_or_default();
-        ListAnswer { as_of_unix_ms: unix_ms().saturating_sub(lag_ms), entries }
-    }
 }
 
 #[derive(Serialize)]
@@ -340,59 +263,6 @@
     offset: u64,
 }
 
-#[derive(Serialize)]
-struct ReadAnswer {
-    first_offset: u64,
-    next_offset: u64,
-    records: Vec<ReadRecord>,
-}
-
-#[derive(Serialize)]
-struct ReadRecord {
-    offset: u64,
-    appended_unix_ms: u64,
-    payload_base64: String,
-}
-
-impl From<&Record> for ReadRecord {
-    fn from(record: &Record) -> ReadRecord {
-        ReadRecord {
-            offset: record.offset,
-            appended_unix_ms: record.appended_unix_ms,
-            payload_base64: STANDARD.encode(&record.payload),
-        }
-    }
-}
-
-#[derive(Serialize)]
-struct ListAnswer {
-    as_of_unix_ms: u64,
-    entries: Vec<Entry>,
-}
-
-/// The query of a read.
-struct ReadQuery {
-    from: u64,
-    limit: usize,
-    wait_ms: u64,
-}
-
-impl ReadQuery {
-    fn parse(query: &str) -> Option<ReadQuery> {
-        let mut read = ReadQuery { from: 0, limit: DEFAULT_READ_LIMIT, wait_ms: 0 };
-        for pair in query.split('&').filter(|it| !it.is_empty()) {
-            let (name, value) = pair.split_once('=')?;
-            match name {
-                "from" => read.from = value.parse().ok()?,
-                "limit" => read.limit = value.parse().ok()?,
-                "wait_ms" => read.wait_ms = value.parse().ok()?,
-                _ => {}
-            }
-        }
-        Some(read)
-    }
-}
-
 async fn handle(shared: Arc<Shared>, request: Request<Bytes>) -> Reply {
     let faults = shared.faults.borrow().clone();
     let path = request.uri().path().to_owned();
@@ -401,7 +271,7 @@
         if faults.list == Availability::Unavailable {
             return Ok(error(StatusCode::SERVICE_UNAVAILABLE, "the list is down"));
         }
-        let list = shared.state().list(shared.settings.list_lag_ms);
+        let list = shared.state().list.read(shared.settings.list_lag_ms);
         return Ok(json(StatusCode::OK, &list));
     }
     let Some(stream) = path.strip_prefix(LOG_PATH).filter(|it| !it.is_empty()) else {
@@ -467,7 +337,7 @@
             state.expire(&shared.settings);
             state.read(stream, &query)
         };
-        if !answer.records.is_empty() {
+        if !answer.is_empty() {
             return Ok(json(StatusCode::OK, &answer));
         }
         if tokio::time::timeout_at(until, appended.changed()).await.is_err() {
