Hold a lease by records of the log, as a pure core

Cause: orders to engines need one holder at a time and a number that only rises.

A record holds if nothing lies between what its author had read and its own offset, so every reader of those offsets judges it alike, also after truncation. The holder counts from before its append, the others from after they read; the term is the offset of the grant, so it rises by itself. Ruled out: term + 1 in the record (two challengers share a term).

Mutants caught: others do not wait, holder counts from its read, engine without fencing. Not in the model: clocks at different paces (margin), restarts, truncation.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod gossip;
 pub mod key;
 pub mod keytable;
+pub mod lease;
 pub mod ledger;
 pub mod load;
 pub mod log;
