Publish a small change as edits, not as a whole sheet

Cause: every instance reads every publication.

The tool publishes edits if they give exactly the sheet, else the text as before. Ruled out: compressing whole sheets, which still grow with the fleet.

--- a/crates/daemon/examples/slopes.rs
+++ b/crates/daemon/examples/slopes.rs
@@ -2,19 +2,24 @@
 //!
 //! Starts real daemons without callers and prints a table. Build the daemon
 //! first: `cargo build --release -p tanagergauge-daemon`, then
-//! `cargo run --release -p tanagergauge-daemon --example slopes [ROW...]`.
+//! `cargo run --release -p tanagergauge-daemon --example slopes [ROW...]`. The row
+//! `sizes` prints sizes of records instead.
 
 use std::{
     fs, io,
     path::PathBuf,
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use tanagergauge_core::{
-    Name,
+    Member, MemberState, Name,
     edit::Edit,
-    record::{Base, Body, Publication, SHEETS_STREAM, SheetRecord},
+    fact::Fact,
+    record::{Base, Body, Publication, SHEETS_STREAM, SheetRecord, Snapshot},
     sheet::{
         AvailabilityZone, Class, ClientAccount, Credential, Endpoint, Kind, Model, OutputPrior,
         Sheet, Tier,
@@ -97,6 +102,9 @@
 #[tokio::main]
 async fn main() -> io::Result<()> {
     let wanted: Vec<String> = std::env::args().skip(1).collect();
+    if wanted.iter().any(|it| it == "sizes") {
+        return print_sizes().await;
+    }
     println!(
         "| row | daemons | zones | endpoints | accounts | changes/day | peers B/s | endpoints B/s \
          | platform B/s | all B/s | messages/s | CPU % of a core | gossip CPU % | RSS MB |"
@@ -110,6 +118,43 @@
     Ok(())
 }
 
+/// Prints how large records of the configuration and facts are.
+async fn print_sizes() -> io::Result<()> {
+    println!("| endpoints | accounts | whole sheet, bytes | snapshot, bytes | one edit, bytes |");
+    println!("|---|---|---|---|---|");
+    for row in [row("", 0, 3, 15, 10, 0), row("", 0, 10, 2100, 10, 0), row("", 0, 10, 2100, 390, 0)]
+    {
+        let sheet = sheet(row).await?;
+        let text = serde_json::to_string(&sheet).map_err(io::Error::other)?;
+        let edit = Body::Edits(vec![Edit::PutEndpoint(sheet.endpoints[0].clone())]);
+        let whole = record(Base::First, Body::Whole(Name::from(text))).len();
+        let edit = record(Base::Version(1 << 20), edit).len();
+        let sheet = Arc::new(sheet);
+        let snapshot = Snapshot { version: 1, publication_id: 1, next_offset: 2, sheet };
+        let snapshot = SheetRecord::Snapshot(snapshot).encode().len();
+        let Row { endpoints, accounts, .. } = row;
+        println!("| {endpoints} | {accounts} | {whole} | {snapshot} | {edit} |");
+    }
+    let fact = Fact::Member { name: Name::from("entry-300"), member: member() };
+    println!(
+        "\none instance's record: {} bytes",
+        postcard::to_allocvec(&fact).unwrap_or_default().len()
+    );
+    Ok(())
+}
+
+fn member() -> Member {
+    Member {
+        incarnation: 1_800_000_000_000,
+        refutation: 0,
+        state: MemberState::Live,
+        forget_unix_ms: 0,
+        availability_zone: Name::from("zone-9"),
+        address: ([127, 0, 0, 1], 40_000).into(),
+        control_address: ([127, 0, 0, 1], 40_001).into(),
+    }
+}
+
 async fn measure(row: Row) -> io::Result<String> {
     let dir = tempfile::tempdir()?;
     fs::write(dir.path().join("keys.yaml"), key_file(&default_keys()))?;
@@ -238,9 +283,12 @@
 }
 
 fn publish(platform: &Platform, base: Base, body: Body) -> u64 {
+    platform.append(SHEETS_STREAM, record(base, body))
+}
+
+fn record(base: Base, body: Body) -> Vec<u8> {
     let publication_id = u128::from(REPORTS.fetch_add(1, Ordering::Relaxed)) + (1 << 64);
-    let publication = Publication { publication_id, base, body };
-    platform.append(SHEETS_STREAM, SheetRecord::Publication(publication).encode())
+    SheetRecord::Publication(Publication { publication_id, base, body }).encode()
 }
 
 /// Changes one endpoint's slots.
--- a/crates/tool/src/sheet.rs
+++ b/crates/tool/src/sheet.rs
@@ -6,6 +6,7 @@
 use tanagergauge_core::{
     Findings, Name,
     check::review_sheet,
+    edit::Edit,
     fold::{Effect, InForce, Rejection},
     record::{Base, Body, Publication, SheetRecord},
     sheet::Sheet,
@@ -112,7 +113,7 @@
     log.read_on().await?;
     let base = base(log.fold.in_force(), options.replaces);
     let publication_id = Uuid::now_v7().as_u128();
-    let body = Body::Whole(Name::from(file.text));
+    let body = body(log.fold.in_force(), base, file);
     let record = SheetRecord::Publication(Publication { publication_id, base, body }).encode();
     let version = settle(&mut log, publication_id, &record, options.patience).await?;
     let id = Uuid::from_u128(publication_id).to_string();
@@ -123,6 +124,26 @@
     Ok(())
 }
 
+/// Edits of the sheet it replaces if they give exactly this one, else the whole text.
+///
+/// Every instance reads every publication, so that a whole sheet for a small change
+/// would cost the fleet its budget for control.
+fn body(in_force: Option<&InForce>, base: Base, file: SheetFile) -> Body {
+    let replaced = in_force.filter(|it| base == Base::Version(it.version));
+    let edits = replaced.and_then(|it| exact_edits(&it.sheet, &file.sheet));
+    edits.map_or_else(|| Body::Whole(Name::from(file.text)), Body::Edits)
+}
+
+fn exact_edits(old: &Sheet, new: &Sheet) -> Option<Vec<Edit>> {
+    let edits = Edit::between(old, new);
+    let mut edited = old.clone();
+    for edit in &edits {
+        edit.apply(&mut edited).ok()?;
+    }
+    // The order of entries may differ, and a sheet published again unchanged has no edits.
+    (edited == *new && !edits.is_empty()).then_some(edits)
+}
+
 fn base(in_force: Option<&InForce>, replaces: Option<u64>) -> Base {
     match (replaces, in_force) {
         (Some(version), _) => Base::Version(version),
--- a/crates/tool/tests/cli.rs
+++ b/crates/tool/tests/cli.rs
@@ -155,6 +155,20 @@
     assert_eq!(json(&again)["version"], 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_small_change_is_published_as_edits() {
+    let platform = platform().await;
+    let address = platform.address();
+    sheet("publish", Some(KULJUS), address, &[]).await;
+    let file = changed("slots: 8", "slots: 7");
+    let published = sheet("publish", Some(path(&file)), address, &["--output", "json"]).await;
+    assert_eq!(json(&published)["version"], 1, "{}", stderr(&published));
+    let same = sheet("diff", Some(path(&file)), address, &[]).await;
+    assert_eq!(stdout(&same), "no change of version 1\n");
+    let bytes: Vec<usize> = platform.records("sheets").iter().map(|it| it.payload.len()).collect();
+    assert!(bytes[1] * 10 < bytes[0], "{bytes:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_shown_sheet_can_be_published_again() {
     let platform = platform().await;
