--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -25,6 +25,8 @@
     pub token_ms: f64,
     /// Time to the first token at those endpoints.
     pub first_token_ms: f64,
+    /// Time within which most first tokens come there.
+    pub first_token_mostly_ms: f64,
     /// Instances that share them.
     pub instances: u32,
 }
--- a/crates/core/src/choose.rs
+++ b/crates/core/src/choose.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Reason,
-    fleet::{Closed, EndpointIndex, Fleet, Routing, Target},
+    fleet::{Closed, Endpoint, EndpointIndex, Fleet, Routing, Target},
     queue::Turn,
 };
 
@@ -28,6 +28,9 @@
 /// How long a target is taken to have no room if nothing happens, in milliseconds.
 const CLOSED_MS: u64 = 100;
 
+/// What each further target of an endpoint counts against it, as a part of its work.
+const SOUGHT: f64 = 0.5;
+
 /// Bytes in a price's unit.
 const PRICE_UNIT_BYTES: f64 = 1e9;
 
@@ -90,6 +93,8 @@
     work_ms: Option<f64>,
     /// Part of the usable slots that are taken.
     busy: f64,
+    /// What counts against it because it serves other targets too.
+    sought: f64,
     cost_ms: f64,
     saved_ms: f64,
 }
@@ -115,6 +120,14 @@
         }
     }
 
+    /// Notes whether a request of a tier had to wait for a slot; the more do, the more slots
+    /// lower tiers leave.
+    pub fn served(&mut self, target: &str, tier_rank: usize, lacked: bool) {
+        if let Some(key) = self.target_key(target) {
+            self.targets[key].served(tier_rank, lacked);
+        }
+    }
+
     /// Whether [`Fleet::choose`] would send the request somewhere now, by the same number.
     pub fn has_room(&mut self, request: &Request<'_>, now_ms: u64, random: u64) -> bool {
         let Some(key) = self.target_key(request.target) else { return false };
@@ -205,7 +218,8 @@
         let best_ms = known.min_by(f64::total_cmp).unwrap_or(UNKNOWN_WORK_MS);
         let score = |it: &Scored| {
             let saved_ms = if it.requests <= bound { it.saved_ms } else { 0.0 };
-            it.work_ms.unwrap_or(best_ms) * (1.0 + it.busy) + it.cost_ms - saved_ms
+            let work_ms = it.work_ms.unwrap_or(best_ms);
+            work_ms * (1.0 + it.busy + it.sought) + it.cost_ms - saved_ms
         };
         let best = found.iter().min_by(|a, b| score(a).total_cmp(&score(b)));
         best.map_or(Choice::Wait, |it| Choice::Send(it.index))
@@ -241,27 +255,30 @@
         wanted: usize,
     ) -> Found {
         let target = &self.targets[key];
-        let higher_asked = target.higher_asked(request.tier_rank, now_ms);
-        let scan = |members: &[EndpointIndex]| {
+        let scan = |members: &[EndpointIndex], surplus: bool| {
             let start = if members.is_empty() { 0 } else { random as usize % members.len() };
             let rotated = members[start..].iter().chain(&members[..start]).take(SCAN_LIMIT);
             rotated
-                .filter_map(|it| self.scored(*it, request, higher_asked, now_ms))
+                .filter_map(|it| self.scored(*it, request, surplus, now_ms))
                 .take(wanted)
                 .collect::<Vec<_>>()
         };
-        let home = scan(&target.home);
         let depends_on_request = !request.avoid.is_empty();
+        let home = scan(&target.home, false);
         if !home.is_empty() {
             return Found { candidates: home, depends_on_request };
         }
-        let mut far = scan(&target.remote);
+        let mut far = scan(&target.remote, false);
         let is_patient = !far.is_empty()
+            && request.tier_rank > 0
             && request.waited_ms * 100 < request.first_token_ms * self.settings.patience_percent
             && self.home_works(target, now_ms);
         if is_patient {
             far.retain(|it| self.endpoints[it.index.0].is_free_of_charge());
         }
+        if far.is_empty() && request.tier_rank == 0 {
+            far = scan(&target.home, true);
+        }
         Found { candidates: far, depends_on_request: depends_on_request || is_patient }
     }
 
@@ -274,13 +291,13 @@
         &self,
         index: EndpointIndex,
         request: &Request<'_>,
-        higher_asked: bool,
+        surplus: bool,
         now_ms: u64,
     ) -> Option<Scored> {
         let endpoint = &self.endpoints[index.0];
         let usable = endpoint.usable_slots(now_ms);
         let requests = endpoint.load.estimate();
-        let limit = self.limit(usable, request, higher_asked);
+        let limit = self.limit(endpoint, usable, request, surplus, now_ms);
         if requests >= limit || request.avoid.contains(&index) {
             return None;
         }
@@ -293,26 +310,37 @@
         let cost = endpoint.price_there * request.request_bytes as f64
             + endpoint.price_back * request.answer_bytes as f64;
         let cost_ms = cost / PRICE_UNIT_BYTES * self.settings.currency_ms;
-        Some(Scored { index, requests, work_ms, busy, cost_ms, saved_ms })
+        let others = endpoint.targets.len().saturating_sub(1);
+        let sought = if request.tier_rank > 0 { others as f64 * SOUGHT } else { 0.0 };
+        Some(Scored { index, requests, work_ms, busy, sought, cost_ms, saved_ms })
     }
 
     /// Requests an endpoint may have for this one to be sent there.
-    fn limit(&self, usable: u32, request: &Request<'_>, higher_asked: bool) -> u32 {
-        if usable == 0 {
-            return 0;
+    fn limit(
+        &self,
+        endpoint: &Endpoint,
+        usable: u32,
+        request: &Request<'_>,
+        surplus: bool,
+        now_ms: u64,
+    ) -> u32 {
+        if usable == 0 || request.turn == Turn::Floor {
+            return usable;
         }
-        if request.tier_rank == 0 {
+        if surplus {
             return usable + (usable * self.settings.overcommit_percent).div_ceil(100);
         }
-        if request.turn == Turn::Floor || !higher_asked {
-            return usable;
-        }
-        let reserved = (usable * self.settings.reserve_percent).div_ceil(100);
+        let least_percent = f64::from(self.settings.reserve_percent);
+        let reserve = |at: &usize| {
+            self.targets[*at].reserve_percent(request.tier_rank, least_percent, now_ms)
+        };
+        let reserve_percent = endpoint.targets.iter().map(reserve).fold(0.0, f64::max);
+        let reserved = (f64::from(usable) * reserve_percent / 100.0).ceil() as u32;
         usable.saturating_sub(reserved).max(1)
     }
 }
 
-impl crate::fleet::Endpoint {
+impl Endpoint {
     fn is_free_of_charge(&self) -> bool {
         self.price_there == 0.0 && self.price_back == 0.0
     }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -24,6 +24,18 @@
 /// Endpoints of a target that its capacity is worked out from.
 const CAPACITY_SAMPLE: usize = 32;
 
+/// Most that waiting adds to the slots kept for higher tiers, in percent.
+const LACK_LIMIT_PERCENT: f64 = 60.0;
+
+/// Most of its slots that an endpoint keeps free of a tier, in percent.
+const RESERVE_LIMIT_PERCENT: f64 = 50.0;
+
+/// What a request that had to wait for a slot adds to them, in percent.
+const LACK_RISE_PERCENT: f64 = 3.0;
+
+/// What a request that had not to wait takes from them, in percent.
+const LACK_FALL_PERCENT: f64 = 0.3;
+
 /// Tiers whose demand is remembered.
 const RANK_LIMIT: usize = 16;
 
@@ -102,6 +114,8 @@
     pub load: Load,
     /// Its speed and failures.
     pub pace: Pace,
+    /// Since when it is down; absent once it has answered again.
+    down_ms: Option<u64>,
     /// Requests that peers were last known to have there.
     peers_requests: u32,
     /// It takes no new work.
@@ -125,6 +139,8 @@
     pub(crate) remote: Vec<EndpointIndex>,
     /// When each tier last asked for it.
     demand_ms: [u64; RANK_LIMIT],
+    /// How often each tier had to wait for a slot of late, from 0 to [`LACK_LIMIT_PERCENT`].
+    lack_percent: [f64; RANK_LIMIT],
     /// The next in turn, for [`Routing::RoundRobin`].
     pub(crate) turn: usize,
     /// What was found to have no room; forgotten when one of the endpoints changes.
@@ -188,6 +204,7 @@
         for (name, old) in targets {
             if let Some(target) = self.targets.get_mut(&name) {
                 target.demand_ms = old.demand_ms;
+                target.lack_percent = old.lack_percent;
             }
         }
     }
@@ -216,6 +233,7 @@
     /// A request there ended with a whole answer.
     pub fn finished(&mut self, index: EndpointIndex, now_ms: u64) {
         self.reopen(index);
+        self.is_up(index);
         let endpoint = &mut self.endpoints[index.0];
         endpoint.load.finished(now_ms);
         endpoint.pace.succeeded(now_ms);
@@ -235,8 +253,24 @@
         endpoint.pace.failed(now_ms)
     }
 
+    /// An endpoint went down with a request that was sent there at `sent_ms`. Returns whether
+    /// the request was there when it did, rather than sent to one that was down already.
+    pub fn lost(&mut self, index: EndpointIndex, sent_ms: u64, now_ms: u64) -> bool {
+        self.reopen(index);
+        let endpoint = &mut self.endpoints[index.0];
+        endpoint.load.finished(now_ms);
+        endpoint.pace.lost(now_ms);
+        sent_ms <= *endpoint.down_ms.get_or_insert(now_ms)
+    }
+
+    /// An endpoint showed that it is up.
+    fn is_up(&mut self, index: EndpointIndex) {
+        self.endpoints[index.0].down_ms = None;
+    }
+
     /// The first token of an answer came after that time.
     pub fn first_token(&mut self, index: EndpointIndex, elapsed_ms: f64) {
+        self.is_up(index);
         self.endpoints[index.0].pace.first_token(elapsed_ms);
     }
 
@@ -324,8 +358,14 @@
         let all = target.map_or(0, |it| it.home.len() + it.remote.len());
         let step = all.div_ceil(CAPACITY_SAMPLE).max(1);
         let members = target.into_iter().flat_map(Target::all).step_by(step);
-        let mut capacity =
-            Capacity { slots: 0, busy, token_ms: 0.0, first_token_ms: 0.0, instances };
+        let mut capacity = Capacity {
+            slots: 0,
+            busy,
+            token_ms: 0.0,
+            first_token_ms: 0.0,
+            first_token_mostly_ms: 0.0,
+            instances,
+        };
         for index in members {
             let endpoint = &self.endpoints[index.0];
             let usable = endpoint.usable_slots(now_ms);
@@ -333,10 +373,12 @@
             capacity.slots += usable;
             capacity.token_ms += endpoint.pace.token_ms() * weight;
             capacity.first_token_ms += endpoint.pace.first_token_ms() * weight;
+            capacity.first_token_mostly_ms += endpoint.pace.first_token_mostly_ms() * weight;
         }
         let slots = f64::from(capacity.slots.max(1));
         capacity.token_ms /= slots;
         capacity.first_token_ms /= slots;
+        capacity.first_token_mostly_ms /= slots;
         capacity.slots *= step as u32;
         capacity
     }
@@ -377,6 +419,7 @@
             slots: 1,
             load: Load::default(),
             pace: Pace::new(FIRST_TOKEN_PACE_MS, FIRST_TOKEN_WAIT_MS),
+            down_ms: None,
             peers_requests: 0,
             leaving: false,
             removed: false,
@@ -405,10 +448,24 @@
         self.demand_ms[rank.min(RANK_LIMIT - 1)] = now_ms;
     }
 
-    /// Whether a higher tier than this one asked for the target of late.
-    pub(crate) fn higher_asked(&self, rank: usize, now_ms: u64) -> bool {
-        let higher = &self.demand_ms[..rank.min(RANK_LIMIT)];
-        higher.iter().any(|&it| it > 0 && now_ms.saturating_sub(it) <= DEMAND_MEMORY_MS)
+    /// Notes whether a request of a tier had to wait for a slot.
+    pub(crate) fn served(&mut self, rank: usize, lacked: bool) {
+        let lack = &mut self.lack_percent[rank.min(RANK_LIMIT - 1)];
+        let step = if lacked { LACK_RISE_PERCENT } else { -LACK_FALL_PERCENT };
+        *lack = (*lack + step).clamp(0.0, LACK_LIMIT_PERCENT);
+    }
+
+    /// Part of the slots to keep free of a tier because higher ones ask for the target, in
+    /// percent: for each of those some, and the more, the more often it had to wait.
+    pub(crate) fn reserve_percent(&self, rank: usize, least_percent: f64, now_ms: u64) -> f64 {
+        let mut reserve = 0.0;
+        for higher in 0..rank.min(RANK_LIMIT) {
+            let asked_ms = self.demand_ms[higher];
+            if asked_ms > 0 && now_ms.saturating_sub(asked_ms) <= DEMAND_MEMORY_MS {
+                reserve += least_percent + self.lack_percent[higher];
+            }
+        }
+        reserve.min(RESERVE_LIMIT_PERCENT)
     }
 }
 
--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -3,6 +3,9 @@
 /// Part of a new value in the moving averages.
 const GAIN: f64 = 0.2;
 
+/// Mean deviations above the mean that most values stay below.
+const DEVIATIONS: f64 = 2.0;
+
 /// Values that must be seen before an endpoint is judged.
 const LEAST_SAMPLES: u32 = 5;
 
@@ -53,6 +56,8 @@
     token_ms: f64,
     /// Moving average of the time to the first token.
     first_token_ms: f64,
+    /// Moving average of how far from that it was, in either direction.
+    first_token_deviation_ms: f64,
     /// Values behind [`Pace::token_ms`] since the last ejection.
     samples: u32,
     failures_in_row: u32,
@@ -67,6 +72,7 @@
         Pace {
             token_ms,
             first_token_ms,
+            first_token_deviation_ms: 0.0,
             samples: 0,
             failures_in_row: 0,
             ejections: 0,
@@ -84,6 +90,11 @@
         self.first_token_ms
     }
 
+    /// Time within which most first tokens come.
+    pub fn first_token_mostly_ms(&self) -> f64 {
+        self.first_token_ms + DEVIATIONS * self.first_token_deviation_ms
+    }
+
     /// Whether enough was observed for a judgement.
     pub fn is_known(&self) -> bool {
         self.samples >= LEAST_SAMPLES
@@ -115,6 +126,8 @@
 
     /// The first token of an answer came after that time.
     pub fn first_token(&mut self, elapsed_ms: f64) {
+        let deviation_ms = (elapsed_ms - self.first_token_ms).abs();
+        self.first_token_deviation_ms += GAIN * (deviation_ms - self.first_token_deviation_ms);
         self.first_token_ms += GAIN * (elapsed_ms - self.first_token_ms);
     }
 
@@ -155,6 +168,11 @@
         self.eject(now_ms)
     }
 
+    /// The endpoint went down. Returns whether that ejected it.
+    pub fn lost(&mut self, now_ms: u64) -> bool {
+        self.eject(now_ms)
+    }
+
     /// Compares it with the median pace of those that serve the same model. Returns whether
     /// being slower by more than the factor ejected it.
     pub fn judge(&mut self, median_token_ms: f64, factor: f64, now_ms: u64) -> bool {
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -27,6 +27,8 @@
     pub shares: bool,
     /// Starvation floors.
     pub floors: bool,
+    /// Within a tier, those that can still meet their first target before those that cannot.
+    pub late_last: bool,
 }
 
 impl Default for QueueSettings {
@@ -38,6 +40,7 @@
             tiers: true,
             shares: true,
             floors: true,
+            late_last: true,
         }
     }
 }
@@ -45,7 +48,13 @@
 impl QueueSettings {
     /// First in, first out, over all tiers and accounts: the baseline.
     pub fn fifo() -> QueueSettings {
-        QueueSettings { tiers: false, shares: false, floors: false, ..QueueSettings::default() }
+        QueueSettings {
+            tiers: false,
+            shares: false,
+            floors: false,
+            late_last: false,
+            ..QueueSettings::default()
+        }
     }
 }
 
@@ -70,6 +79,8 @@
     pub arrived_ms: u64,
     /// The last moment at which a dispatch can still meet the deadline.
     pub start_by_ms: u64,
+    /// The last moment at which a dispatch can still meet the target for the first token.
+    pub on_time_until_ms: u64,
     /// Tokens it is expected to use, prompt and output.
     pub cost_tokens: u64,
     /// It has run in part and waits to be resumed; it is never pushed out.
@@ -152,6 +163,8 @@
 #[derive(Clone, Debug, Default)]
 struct Tier {
     lanes: IndexMap<LaneKey, Lane>,
+    /// Entries of lanes that are not late by [`Entry::on_time_until_ms`].
+    on_time: BTreeSet<(u64, u64)>,
     /// Every entry of the tier by [`Entry::start_by_ms`].
     start_by: BTreeSet<(u64, u64)>,
     /// Bytes of entries that may be pushed out.
@@ -164,6 +177,8 @@
 struct LaneKey {
     class: Name,
     target: Name,
+    /// Its entries can no longer meet their target for the first token.
+    is_late: bool,
 }
 
 /// Entries of one class for one target, by account. No flow is empty.
@@ -260,6 +275,18 @@
 
     /// Takes an entry out, as when its caller has left.
     pub fn remove(&mut self, id: u64) -> Option<Entry> {
+        let (entry, place) = self.take(id)?;
+        self.tiers[place.rank].discount(&entry);
+        self.bytes -= entry.bytes;
+        if let Some(class) = self.classes.get_mut(&entry.class) {
+            class.waiting -= 1;
+            class.unserved_ms = self.now_ms.saturating_sub(class.since_ms);
+        }
+        Some(entry)
+    }
+
+    /// Takes an entry out of its lane.
+    fn take(&mut self, id: u64) -> Option<(Entry, Place)> {
         let place = self.places.remove(&id)?;
         let tier = &mut self.tiers[place.rank];
         let lane = tier.lanes.get_mut(&place.lane)?;
@@ -273,13 +300,40 @@
         if lane.flows.is_empty() {
             tier.lanes.swap_remove(&place.lane);
         }
-        tier.discount(&entry);
-        self.bytes -= entry.bytes;
-        if let Some(class) = self.classes.get_mut(&entry.class) {
-            class.waiting -= 1;
-            class.unserved_ms = self.now_ms.saturating_sub(class.since_ms);
+        tier.on_time.remove(&(entry.on_time_until_ms, id));
+        Some((entry, place))
+    }
+
+    /// Puts an entry into a lane.
+    fn put(&mut self, entry: Entry, lane: LaneKey) {
+        let rank = entry.tier_rank;
+        let account = entry.account.clone();
+        let key = (entry.arrived_ms, entry.id);
+        let tier = &mut self.tiers[rank];
+        if !lane.is_late {
+            tier.on_time.insert((entry.on_time_until_ms, entry.id));
+        }
+        let place = tier.lanes.entry(lane.clone()).or_default();
+        place.cost_tokens += entry.cost_tokens;
+        self.places.insert(entry.id, Place { rank, lane, account: account.clone(), key });
+        let flow = place.flows.entry(account).or_default();
+        flow.bytes += entry.bytes;
+        flow.entries.insert(key, entry);
+    }
+
+    /// Moves entries whose target for the first token has passed behind the others.
+    fn set_late(&mut self, now_ms: u64) {
+        if !self.settings.late_last {
+            return;
+        }
+        for rank in 0..self.tiers.len() {
+            while let Some(&(until_ms, id)) = self.tiers[rank].on_time.first()
+                && until_ms < now_ms
+                && let Some((entry, place)) = self.take(id)
+            {
+                self.put(entry, LaneKey { is_late: true, ..place.lane });
+            }
         }
-        Some(entry)
     }
 
     /// Picks what to do next. `has_room` tells whether an endpoint would take the offer now.
@@ -290,6 +344,7 @@
         mut has_room: impl FnMut(Offer<'_>, Turn) -> bool,
     ) -> Next {
         self.now_ms = self.now_ms.max(supply.now_ms);
+        self.set_late(supply.now_ms);
         if let Some(entry) = self.expired(supply.now_ms) {
             return Next::Expired(entry);
         }
@@ -321,18 +376,11 @@
         }
         class.waiting += 1;
         class.floor_percent = entry.floor_percent;
-        let lane = LaneKey { class: entry.class.clone(), target: entry.target.clone() };
-        let account = entry.account.clone();
-        let key = (entry.arrived_ms, entry.id);
-        let tier = &mut self.tiers[rank];
-        tier.count(&entry);
+        let lane =
+            LaneKey { class: entry.class.clone(), target: entry.target.clone(), is_late: false };
+        self.tiers[rank].count(&entry);
         self.bytes += entry.bytes;
-        let place = tier.lanes.entry(lane.clone()).or_default();
-        place.cost_tokens += entry.cost_tokens;
-        self.places.insert(entry.id, Place { rank, lane, account: account.clone(), key });
-        let flow = place.flows.entry(account).or_default();
-        flow.bytes += entry.bytes;
-        flow.entries.insert(key, entry);
+        self.put(entry, lane);
     }
 
     /// Pushes out lower tiers' entries, then what accounts hold above their share in the
@@ -458,27 +506,39 @@
         shares: &Shares,
         has_room: &mut impl FnMut(Offer<'_>, Turn) -> bool,
     ) -> Option<u64> {
-        let mut best: Option<(f64, (u64, u64))> = None;
+        let mut best = None;
         for (tier_rank, tier) in self.tiers.iter().enumerate() {
-            for (key, lane) in &tier.lanes {
-                if !has_room(Offer::Any { target: &key.target, tier_rank }, Turn::Strict) {
-                    continue;
-                }
-                let Some(entry) = lane.head(shares, self.settings.shares) else { continue };
-                let rank = if self.settings.shares { shares.rank(&entry.account) } else { 0.0 };
-                let order = (rank, (entry.arrived_ms, entry.id));
-                if best.is_some_and(|it| !goes_before(order, it)) {
-                    continue;
-                }
-                if has_room(Offer::One(entry), Turn::Strict) {
-                    best = Some(order);
+            for is_late in [false, true] {
+                best = self.pick_in_tier((tier_rank, tier), is_late, best, shares, has_room);
+                if self.settings.tiers && best.is_some() {
+                    return best.map(|it| it.1.1);
                 }
             }
-            if self.settings.tiers && best.is_some() {
-                break;
+        }
+        best.map(|it| it.1.1)
+    }
+
+    fn pick_in_tier(
+        &self,
+        (tier_rank, tier): (usize, &Tier),
+        is_late: bool,
+        mut best: Option<Order>,
+        shares: &Shares,
+        has_room: &mut impl FnMut(Offer<'_>, Turn) -> bool,
+    ) -> Option<Order> {
+        for (key, lane) in tier.lanes.iter().filter(|it| it.0.is_late == is_late) {
+            if !has_room(Offer::Any { target: &key.target, tier_rank }, Turn::Strict) {
+                continue;
+            }
+            let Some(entry) = lane.head(shares, self.settings.shares) else { continue };
+            let rank = if self.settings.shares { shares.rank(&entry.account) } else { 0.0 };
+            let order = (rank, (entry.arrived_ms, entry.id));
+            let goes_first = best.is_none_or(|it| goes_before(order, it));
+            if goes_first && has_room(Offer::One(entry), Turn::Strict) {
+                best = Some(order);
             }
         }
-        best.map(|(_, (_, id))| id)
+        best
     }
 
     fn dispatch(&mut self, id: u64, turn: Turn, now_ms: u64) -> Next {
@@ -542,6 +602,9 @@
     }
 }
 
-fn goes_before(a: (f64, (u64, u64)), b: (f64, (u64, u64))) -> bool {
+/// The account's use by its share, and the entry's arrival and id.
+type Order = (f64, (u64, u64));
+
+fn goes_before(a: Order, b: Order) -> bool {
     a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).is_lt()
 }
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -39,6 +39,9 @@
 /// How long an endpoint that was sent a suspect gets no other, in milliseconds.
 const TRIAL_ALONE_MS: u64 = 1_000;
 
+/// A request that waited longer lacked a slot, in milliseconds.
+const LACK_MS: u64 = 30;
+
 /// Blocks of prompts kept, about 100 bytes each.
 const PREFIX_BLOCKS: usize = 40_000;
 
@@ -387,9 +390,9 @@
     }
 
     fn lost(&mut self, running: &Running, now_ms: u64) -> u64 {
-        self.fleet.failed(running.endpoint, now_ms);
+        let was_there = self.fleet.lost(running.endpoint, running.sent_ms, now_ms);
         self.prefixes.distrust(running.endpoint);
-        if !self.settings.switches.quarantine {
+        if !was_there || !self.settings.switches.quarantine {
             return now_ms;
         }
         let endpoint = self.fleet.endpoint(running.endpoint).name.clone();
@@ -446,6 +449,7 @@
             bytes: job.bytes,
             arrived_ms: job.arrived_ms,
             start_by_ms: job.deadline_ms.saturating_sub(service_ms),
+            on_time_until_ms: on_time_until_ms(&job, &capacity),
             cost_tokens: u64::from(tokens) + prompt_tokens / PROMPT_TOKENS_A_TOKEN,
             started: job.delivered_tokens > 0,
         };
@@ -503,6 +507,8 @@
                 return Act::Refuse(job.id, Refused { reason, retry_after_ms: None });
             }
         };
+        let lacked = now_ms.saturating_sub(job.arrived_ms) > LACK_MS;
+        self.fleet.served(&job.target, job.tier_rank, lacked);
         self.fleet.sent(endpoint, now_ms);
         if job.is_suspect {
             self.trials.push((endpoint, now_ms + TRIAL_ALONE_MS));
@@ -597,6 +603,15 @@
     }
 }
 
+/// Until when a dispatch meets the target for the first token; for a job that has begun, always.
+fn on_time_until_ms(job: &Job, capacity: &Capacity) -> u64 {
+    if job.delivered_tokens > 0 {
+        return u64::MAX;
+    }
+    let start_ms = capacity.first_token_mostly_ms as u64;
+    (job.arrived_ms + job.first_token_ms).saturating_sub(start_ms)
+}
+
 fn length_key(job: &Job) -> LengthKey {
     LengthKey { class: job.class.clone(), account: job.account.clone(), model: job.target.clone() }
 }
--- a/crates/core/tests/learn.rs
+++ b/crates/core/tests/learn.rs
@@ -69,8 +69,14 @@
 
 #[test]
 fn a_request_is_refused_only_if_it_would_be_too_late() {
-    let capacity =
-        Capacity { slots: 4, busy: 4, token_ms: 20.0, first_token_ms: 100.0, instances: 1 };
+    let capacity = Capacity {
+        slots: 4,
+        busy: 4,
+        token_ms: 20.0,
+        first_token_ms: 100.0,
+        first_token_mostly_ms: 100.0,
+        instances: 1,
+    };
     let demand = Demand { left_ms: 5_000, output_tokens: 100, ahead_tokens: 0, mean_tokens: 100 };
     assert_eq!(admit(&demand, &capacity), Admission::Admit { service_ms: 2_100 });
     let behind = Demand { ahead_tokens: 1_000, ..demand };
--- a/crates/core/tests/queue.rs
+++ b/crates/core/tests/queue.rs
@@ -110,6 +110,7 @@
             bytes,
             arrived_ms: self.now_ms,
             start_by_ms,
+            on_time_until_ms: start_by_ms,
             cost_tokens: 10,
             started: false,
         }
@@ -348,6 +349,27 @@
     if (share - 0.75).abs() <= 0.02 { Ok(true) } else { Err(format!("{served:?}")) }
 }
 
+/// Which of two of one tier goes first, the older of which has missed its first target.
+fn first_of_two(late_last: bool) -> u64 {
+    let mut checked = Checked::new(QueueSettings { late_last, ..QueueSettings::default() });
+    for on_time_until_ms in [1_050, 9_000] {
+        let entry = checked.entry(1, 0, 0, 1, 100_000);
+        let entry = Entry { on_time_until_ms, ..entry };
+        checked.push(entry).unwrap();
+    }
+    checked.now_ms += 100;
+    let waiting = checked.queue.len();
+    let first = serve(&mut checked).unwrap().map(|it| it.id);
+    assert_eq!(waiting - 1, checked.queue.len());
+    first.unwrap()
+}
+
+#[test]
+fn what_can_still_be_on_time_goes_before_what_is_late() {
+    assert_eq!(first_of_two(true), 2);
+    assert_eq!(first_of_two(false), 1, "by arrival with the mechanism off");
+}
+
 #[test]
 fn an_account_that_floods_is_pushed_out_of_its_own_tier() {
     let mut checked = Checked::new(small());
--- a/crates/daemon/src/permit.rs
+++ b/crates/daemon/src/permit.rs
@@ -5,6 +5,9 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, header::HOST};
 use ractor::ActorRef;
 use tanagergauge_core::{Reason, scheduler::End, sheet::Endpoint};
 use tokio::{sync::oneshot, time::timeout};
@@ -14,7 +17,10 @@
 /// Time between two notes of a stream's progress.
 const NOTE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Longest wait for an endpoint that broke off to take a new connection.
+/// What an endpoint that broke off is asked; any answer shows that it lives.
+const PROBE_PATH: &str = "/load";
+
+/// Longest wait for an endpoint that broke off to answer anything.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// A shorter attempt that ran out of time says nothing against its endpoint.
@@ -80,9 +86,16 @@
         let _ = timeout(TELL_TIMEOUT, may_tell).await;
     }
 
-    /// Whether the endpoint takes no connection any more.
+    /// Whether the endpoint, or what stands before it, answers nothing any more.
     async fn is_lost(&self) -> bool {
-        Pool::connect(self.endpoint.address, PROBE_TIMEOUT).await.is_err()
+        let address = self.endpoint.address;
+        let probe = async {
+            let mut connection = Pool::connect(address, PROBE_TIMEOUT).await.ok()?;
+            let request = Request::get(PROBE_PATH).header(HOST, address.to_string());
+            let request = request.body(Full::new(Bytes::new())).ok()?;
+            connection.send_request(request).await.ok()
+        };
+        !matches!(timeout(PROBE_TIMEOUT, probe).await, Ok(Some(_)))
     }
 
     fn tell(&self, message: Message) {
--- a/crates/daemon/src/policy.rs
+++ b/crates/daemon/src/policy.rs
@@ -44,6 +44,8 @@
     pub retry_budget: bool,
     /// Quarantine what crashes endpoints.
     pub quarantine: bool,
+    /// Within a tier, those that can still meet their first target before those that cannot.
+    pub late_last: bool,
     /// Most bytes of bodies that wait.
     pub queue_bytes: usize,
     /// Most requests that wait.
@@ -52,6 +54,8 @@
     pub floor_window_ms: u64,
     /// Part of an endpoint's slots kept free of lower tiers while a higher has demand, in percent.
     pub reserve_percent: u32,
+    /// Requests the most urgent tier may send beyond an endpoint's slots, in percent of them.
+    pub overcommit_percent: u32,
 }
 
 impl Default for PolicySettings {
@@ -64,10 +68,12 @@
             prefixes: true,
             retry_budget: true,
             quarantine: true,
+            late_last: true,
             queue_bytes: queue.max_bytes,
             queue_entries: queue.max_entries,
             floor_window_ms: queue.floor_window_ms,
             reserve_percent: FleetSettings::default().reserve_percent,
+            overcommit_percent: FleetSettings::default().overcommit_percent,
         }
     }
 }
@@ -82,6 +88,7 @@
             tiers: self.queueing != Queueing::Fifo,
             shares: self.queueing == Queueing::Full,
             floors: self.queueing == Queueing::Full,
+            late_last: self.queueing == Queueing::Full && self.late_last,
         };
         let patience_percent = match goal {
             Goal::Attainment => ATTAINMENT_PATIENCE_PERCENT,
@@ -90,6 +97,7 @@
         let fleet = FleetSettings {
             routing: self.routing,
             reserve_percent: self.reserve_percent,
+            overcommit_percent: self.overcommit_percent,
             patience_percent,
             ..FleetSettings::default()
         };
