--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,8 +5,10 @@
 //! that the code which runs is the code which is model-checked and benchmarked.
 
 pub mod admit;
+pub mod batch;
 pub mod check;
 pub mod choose;
+pub mod claim;
 pub mod document;
 pub mod edit;
 pub mod fact;
@@ -15,13 +17,17 @@
 pub mod fleet;
 pub mod fold;
 pub mod gossip;
+pub mod key;
+pub mod keytable;
 pub mod ledger;
 pub mod load;
 pub mod log;
 pub mod member;
+mod misfit;
 pub mod name;
 pub mod node;
 pub mod outcome;
+pub mod owner;
 pub mod pace;
 pub mod predict;
 pub mod prefix;
@@ -32,9 +38,12 @@
 pub mod record;
 pub mod rendezvous;
 pub mod retry;
+mod scalar;
 pub mod scheduler;
 pub mod share;
 pub mod sheet;
+pub mod ticket;
+mod trail;
 mod tree;
 
 pub use finding::{Finding, Findings, Severity};
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -24,6 +24,7 @@
     front,
     journal::{Event, EventKind, Journal},
     keyring::KeyRingError,
+    keys,
     platform::Platform,
     pool::Pool,
     progress::Progress,
@@ -62,6 +63,8 @@
 pub struct Running {
     /// Address for callers.
     pub address: SocketAddr,
+    /// Address by which peers and operators reach it.
+    pub control_address: SocketAddr,
     /// What its requests share.
     pub shared: Arc<Shared>,
     phase: watch::Sender<Phase>,
@@ -89,6 +92,7 @@
         view,
         dispatcher,
         peers: OnceLock::new(),
+        keys: OnceLock::new(),
         address,
         phase,
         streams: Arc::new(Semaphore::new(settings.limits.streams)),
@@ -97,6 +101,7 @@
         settings,
     });
     let meters = Meters::default();
+    let platform_meter = Arc::clone(&meters.platform);
     let log = shared.settings.platform.log;
     let arguments = follower::Arguments {
         platform: Platform::metered(log, Arc::clone(&meters.platform)),
@@ -112,11 +117,18 @@
         meters,
     })
     .await?;
+    keys::start(&shared, &fleet, &platform_meter).await?;
     tokio::spawn(upkeep());
     let front = tokio::spawn(front::serve(listener, Arc::clone(&shared)));
+    tracing::info!(
+        %address,
+        control_address = %fleet.control_address,
+        control_listen = %fleet.control_listen,
+        instance = %shared.settings.instance,
+        "listening"
+    );
     let control_address = fleet.control_address;
-    tracing::info!(%address, %control_address, instance = %shared.settings.instance, "listening");
-    Ok(Running { address, shared, phase: phase_sender, front, fleet })
+    Ok(Running { address, control_address, shared, phase: phase_sender, front, fleet })
 }
 
 impl Running {
--- a/crates/tool/src/cli.rs
+++ b/crates/tool/src/cli.rs
@@ -33,6 +33,24 @@
                 .help("How results are printed"),
         )
         .subcommand(sheet_command())
+        .subcommand(operate_command("status", "Show what an instance does and knows of the fleet"))
+        .subcommand(
+            operate_command("events", "Show the latest decisions of an instance").arg(
+                Arg::new("limit")
+                    .long("limit")
+                    .value_parser(value_parser!(u32))
+                    .default_value("50")
+                    .help("How many at most"),
+            ),
+        )
+        .subcommand(
+            operate_command("explain", "Show what the fleet decided for a request, and why").arg(
+                Arg::new("request-id")
+                    .required(true)
+                    .value_name("REQUEST-ID")
+                    .help("Its `X-Request-Id`"),
+            ),
+        )
         .subcommand(try_command())
         .subcommand(load_command())
         .subcommand(bench_command())
@@ -86,6 +104,29 @@
         )
 }
 
+fn operate_command(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .arg(
+            Arg::new("control")
+                .long("control")
+                .value_name("ADDRESS")
+                .required(true)
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(SocketAddr))
+                .help("Control address of an instance; the next one is asked if it is silent"),
+        )
+        .arg(
+            Arg::new("keys")
+                .long("keys")
+                .value_name("FILE")
+                .required(true)
+                .value_hint(ValueHint::FilePath)
+                .value_parser(value_parser!(PathBuf))
+                .help("File of the keys that instances and operators share"),
+        )
+}
+
 fn try_command() -> Command {
     Command::new("try")
         .about("Bring up a whole deployment in this process and send a request of each class")
@@ -114,60 +155,72 @@
 }
 
 fn load_command() -> Command {
-    let file = |name: &'static str, help: &'static str| {
-        Arg::new(name)
-            .long(name)
-            .value_name("FILE")
-            .value_hint(ValueHint::FilePath)
-            .value_parser(value_parser!(PathBuf))
-            .help(help)
-    };
     Command::new("load")
         .about("Send requests when they are due and measure what becomes of them")
-        .arg(file("sheet", "The sheet").required(true))
-        .arg(file("profile", "What is sent").required(true))
-        .arg(
-            Arg::new("local")
-                .long("local")
-                .value_name("N")
-                .value_parser(value_parser!(usize))
-                .help("Start N instances and the sheet's endpoints as stand-ins in this process"),
-        )
-        .arg(settings_arg().requires("local"))
-        .arg(
-            Arg::new("instance")
-                .long("instance")
-                .value_name("ADDRESS[=ZONE]")
-                .action(ArgAction::Append)
-                .conflicts_with("local")
-                .required_unless_present("local")
-                .help("An instance that runs already; may be repeated"),
-        )
-        .arg(
-            Arg::new("times-capacity")
-                .long("times-capacity")
-                .value_name("X")
-                .value_parser(value_parser!(f64))
-                .help("Rate as a multiple of what the stand-in engines can do"),
-        )
-        .arg(
-            Arg::new("seed")
-                .long("seed")
-                .value_parser(value_parser!(u64))
-                .help("Replaces the profile's seed"),
-        )
-        .arg(
-            Arg::new("duration-ms")
-                .long("duration-ms")
-                .value_parser(value_parser!(u64))
-                .help("Replaces the profile's duration"),
-        )
-        .arg(file("json", "Write what was measured as JSON"))
-        .arg(file("records", "Write a JSON line for each request"))
-        .arg(file("report", "Write a report with plots as HTML"))
+        .arg(file_option("sheet", "The sheet").required(true))
+        .arg(file_option("profile", "What is sent").required(true))
+        .args(instance_args())
+        .args(rate_args())
+        .arg(file_option("json", "Write what was measured as JSON"))
+        .arg(file_option("records", "Write a JSON line for each request"))
+        .arg(file_option("report", "Write a report with plots as HTML"))
         .arg(Arg::new("quiet").long("quiet").action(ArgAction::SetTrue).help("Show no progress"))
 }
 
+/// Which instances requests go to.
+fn instance_args() -> [Arg; 4] {
+    [
+        Arg::new("local")
+            .long("local")
+            .value_name("N")
+            .value_parser(value_parser!(usize))
+            .help("Start N instances and the sheet's endpoints as stand-ins in this process"),
+        settings_arg().requires("local"),
+        file_option("more-settings", "YAML lines that each instance's settings end with")
+            .requires("local"),
+        Arg::new("instance")
+            .long("instance")
+            .value_name("ADDRESS[=ZONE]")
+            .action(ArgAction::Append)
+            .conflicts_with("local")
+            .required_unless_present("local")
+            .help("An instance that runs already; may be repeated"),
+    ]
+}
+
+/// How much is sent, and for how long.
+fn rate_args() -> [Arg; 4] {
+    [
+        Arg::new("times-capacity")
+            .long("times-capacity")
+            .value_name("X")
+            .value_parser(value_parser!(f64))
+            .help("Rate as a multiple of what the stand-in engines can do"),
+        Arg::new("seed")
+            .long("seed")
+            .value_parser(value_parser!(u64))
+            .help("Replaces the profile's seed"),
+        Arg::new("duration-ms")
+            .long("duration-ms")
+            .value_parser(value_parser!(u64))
+            .help("Replaces the profile's duration"),
+        Arg::new("drain-ms")
+            .long("drain-ms")
+            .value_parser(value_parser!(u64))
+            .default_value("120000")
+            .help("How long answers are waited for after the last request"),
+    ]
+}
+
+fn file_option(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("FILE")
+        .value_hint(ValueHint::FilePath)
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
 fn bench_command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
         Arg::new(name)
@@ -179,15 +232,12 @@
     Command::new("bench")
         .about("Measure what an instance costs against the direct path to the same stand-in")
         .arg(number("streams", "500", "Streams open at once"))
-        .arg(number("tokens", "64", "Tokens of each stream"))
+        .arg(number("tokens", "512", "Tokens of each stream"))
         .arg(number("requests", "20000", "Short requests"))
         .arg(settings_arg())
         .arg(
-            Arg::new("pid")
-                .long("pid")
-                .value_parser(value_parser!(u32))
-                .requires("settings")
-                .help("Process of the instance, whose resident memory is printed"),
+            file_option("pid-file", "File with the instance's process id, to print its memory")
+                .requires("settings"),
         )
 }
 
