Look the places of a document's values up in constant time

Cause: the slopes showed 1.9 to 3.6 s of processor time to read a sheet with 2,100 endpoints, against 5 s for a change to be in force everywhere. Every value counted the lines of the whole text to check its place: quadratic. Ruled out: the checks of names and references, which look at lists of tens.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -48,7 +48,8 @@
     ///
     /// What is wrong is added to `findings`; absent if nothing could be read.
     pub fn parse(text: &str, findings: &mut Findings) -> Option<Node> {
-        let mut builder = Builder { parser: Parser::new_from_str(text), text, findings };
+        let line_chars = text.lines().map(|it| it.chars().count()).collect();
+        let mut builder = Builder { parser: Parser::new_from_str(text), line_chars, findings };
         match builder.document() {
             Ok(node) => node,
             Err(error) => {
@@ -113,7 +114,8 @@
 
 struct Builder<'a, 'f> {
     parser: Parser<'a, serde_saphyr::granit_parser::StrInput<'a>>,
-    text: &'a str,
+    /// Characters of each line, counted once: every value looks its place up.
+    line_chars: Vec<usize>,
     findings: &'f mut Findings,
 }
 
@@ -241,9 +243,8 @@
 
     /// The nearest place that is in the text.
     fn inside(&self, place: Place) -> Place {
-        let lines = self.text.lines().count().max(1);
-        let line = place.line.clamp(1, lines);
-        let chars = self.text.lines().nth(line - 1).map_or(0, |it| it.chars().count());
+        let line = place.line.clamp(1, self.line_chars.len().max(1));
+        let chars = self.line_chars.get(line - 1).copied().unwrap_or(0);
         let column = if line == place.line { place.column } else { chars + 1 };
         let column = column.clamp(1, chars + 1);
         let width = place.width.min((chars + 1).saturating_sub(column)).max(1);
--- a/crates/core/tests/check.rs
+++ b/crates/core/tests/check.rs
@@ -1,5 +1,7 @@
 //! Sheets that are checked, and what is found in them.
 
+use std::time::{Duration, Instant};
+
 use quickcheck::{Gen, QuickCheck};
 use tanagergauge_core::{
     Findings,
@@ -270,3 +272,28 @@
     assert!(findings.has_errors());
     assert!(findings.iter().all(|it| it.place.is_none()));
 }
+
+/// Time within which a sheet is in force everywhere; reading it is a part of that.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(5);
+
+/// Endpoints of a sheet in two years.
+const ENDPOINTS: usize = 2100;
+
+#[test]
+#[expect(clippy::disallowed_methods, reason = "the time it takes is what is tested")]
+fn a_sheet_of_two_years_is_read_in_time() {
+    let mut text = GOOD.split_once("endpoints:").expect("it has endpoints").0.to_owned();
+    text.push_str("endpoints:\n");
+    for i in 0..ENDPOINTS {
+        let (high, low) = (i / 250, i % 250);
+        text.push_str(&format!(
+            "  - name: engine-{i}\n    availability_zone: tallinn-1\n    \
+             address: 127.1.{high}.{low}:8000\n    serves: [libretto]\n    slots: 8\n"
+        ));
+    }
+    let begun = Instant::now();
+    let (sheet, findings) = review_sheet(&text);
+    assert!(begun.elapsed() < IN_FORCE_BOUND, "{:?}", begun.elapsed());
+    let sheet = sheet.unwrap_or_else(|| panic!("{findings}"));
+    assert_eq!(sheet.endpoints.len(), ENDPOINTS);
+}
