Read claims back along with each append

Cause: a poll that has just returned takes the log's latency to be open again, so claims that landed meanwhile waited for it.

--- a/crates/daemon/src/claimer.rs
+++ b/crates/daemon/src/claimer.rs
@@ -20,6 +20,8 @@
 
 /// Longest wait of one read for a new record.
 const LONG_POLL: Duration = Duration::from_millis(5000);
+/// Longest wait of a read that goes along with an append.
+const ALONG_POLL: Duration = Duration::from_millis(1000);
 /// Records asked for in one read.
 const PAGE_RECORDS: usize = 256;
 /// Pause after a failed read or append.
@@ -53,6 +55,8 @@
     Failed(ClaimRecord),
     /// A read of the log ended.
     Read(Result<platform::Page, PlatformError>),
+    /// A read that went along with an append ended; what it brings may be known already.
+    ReadAlong(platform::Page),
 }
 
 /// The actor.
@@ -113,9 +117,9 @@
             Message::Claim(claim, reply) => state.claim(claim, reply),
             Message::Due => state.timer_runs = false,
             Message::Failed(record) => state.claim_again(&record),
+            Message::ReadAlong(page) => state.read(page),
             Message::Read(Ok(page)) => {
-                let claimed = state.index.read(&core_page(page));
-                claimed.into_iter().for_each(|key| state.tell(key));
+                state.read(page);
                 state.read_next(myself.clone(), Duration::ZERO);
             }
             Message::Read(Err(error)) => {
@@ -152,6 +156,11 @@
         }
     }
 
+    fn read(&mut self, page: platform::Page) {
+        let claimed = self.index.read(&core_page(page));
+        claimed.into_iter().for_each(|key| self.tell(key));
+    }
+
     fn tell(&mut self, key: KeyId) {
         let Some(claim) = self.waiting.get(&key).map(|it| it.claim) else { return };
         let standing = self.index.standing(key, claim.key_unix_ms);
@@ -184,6 +193,7 @@
         let record = self.batch.take(now_ms);
         counter!("tanagergauge_claim_appends_total").increment(1);
         counter!("tanagergauge_claims_total").increment(record.claims.len() as u64);
+        self.read_along(myself.clone());
         let platform = Arc::clone(&self.platform);
         let stream = Arc::clone(&self.stream);
         tokio::spawn(async move {
@@ -196,6 +206,20 @@
         });
     }
 
+    /// Reads along with an append, since the next poll may still be on its way to the log
+    /// when the append takes effect.
+    fn read_along(&self, myself: ActorRef<Message>) {
+        let platform = Arc::clone(&self.platform);
+        let stream = Arc::clone(&self.stream);
+        let from = self.index.next_offset();
+        tokio::spawn(async move {
+            if let Ok(page) = platform.read(&stream, from, PAGE_RECORDS, ALONG_POLL).await {
+                // The actor is gone only when the process stops.
+                let _ = myself.send_message(Message::ReadAlong(page));
+            }
+        });
+    }
+
     /// Reads the log in a task of its own, so that claims are taken meanwhile.
     fn read_next(&self, myself: ActorRef<Message>, pause: Duration) {
         let platform = Arc::clone(&self.platform);
