--- a/crates/tool/tests/cli.rs
+++ b/crates/tool/tests/cli.rs
@@ -155,6 +155,20 @@
     assert_eq!(json(&again)["version"], 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_small_change_is_published_as_edits() {
+    let platform = platform().await;
+    let address = platform.address();
+    sheet("publish", Some(KULJUS), address, &[]).await;
+    let file = changed("slots: 8", "slots: 7");
+    let published = sheet("publish", Some(path(&file)), address, &["--output", "json"]).await;
+    assert_eq!(json(&published)["version"], 1, "{}", stderr(&published));
+    let same = sheet("diff", Some(path(&file)), address, &[]).await;
+    assert_eq!(stdout(&same), "no change of version 1\n");
+    let bytes: Vec<usize> = platform.records("sheets").iter().map(|it| it.payload.len()).collect();
+    assert!(bytes[1] * 10 < bytes[0], "{bytes:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_shown_sheet_can_be_published_again() {
     let platform = platform().await;
@@ -279,6 +293,10 @@
     let status = operator("status", &["--output", "json"]);
     assert_eq!(json(&status)["is_ready"], true);
     assert_eq!(json(&status)["sheet_version"], 0);
+    let classes = json(&status)["classes"].clone();
+    assert_eq!(classes.as_object().map(serde_json::Map::len), Some(7));
+    assert_eq!(classes["booth-rewrite"]["answered"], 1);
+    assert_eq!(classes["cue-publish"]["answered"], 1);
     let latest = operator("events", &["--limit", "3", "--output", "json"]);
     assert_eq!(json(&latest).as_array().map(Vec::len), Some(3));
 }
