--- a/crates/core/src/choose.rs
+++ b/crates/core/src/choose.rs
@@ -269,16 +269,15 @@
             return Found { candidates: home, depends_on_request };
         }
         let mut far = scan(&target.remote, false);
-        let is_patient = !far.is_empty()
-            && request.tier_rank > 0
+        if far.is_empty() {
+            return Found { candidates: scan(&target.home, true), depends_on_request };
+        }
+        let is_patient = request.tier_rank > 0
             && request.waited_ms * 100 < request.first_token_ms * self.settings.patience_percent
             && self.home_works(target, now_ms);
         if is_patient {
             far.retain(|it| self.endpoints[it.index.0].is_free_of_charge());
         }
-        if far.is_empty() && request.tier_rank == 0 {
-            far = scan(&target.home, true);
-        }
         Found { candidates: far, depends_on_request: depends_on_request || is_patient }
     }
 
@@ -315,7 +314,9 @@
         Some(Scored { index, requests, work_ms, busy, sought, cost_ms, saved_ms })
     }
 
-    /// Requests an endpoint may have for this one to be sent there.
+    /// Requests an endpoint may have for this one to be sent there. A surplus beyond its slots
+    /// keeps it busy while an end is not known here yet; it is for the highest tier that asks for
+    /// anything the endpoint serves.
     fn limit(
         &self,
         endpoint: &Endpoint,
@@ -327,14 +328,14 @@
         if usable == 0 || request.turn == Turn::Floor {
             return usable;
         }
-        if surplus {
-            return usable + (usable * self.settings.overcommit_percent).div_ceil(100);
-        }
         let least_percent = f64::from(self.settings.reserve_percent);
         let reserve = |at: &usize| {
             self.targets[*at].reserve_percent(request.tier_rank, least_percent, now_ms)
         };
         let reserve_percent = endpoint.targets.iter().map(reserve).fold(0.0, f64::max);
+        if surplus && reserve_percent == 0.0 {
+            return usable + (usable * self.settings.overcommit_percent).div_ceil(100);
+        }
         let reserved = (f64::from(usable) * reserve_percent / 100.0).ceil() as u32;
         usable.saturating_sub(reserved).max(1)
     }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -28,7 +28,7 @@
 const LACK_LIMIT_PERCENT: f64 = 60.0;
 
 /// Most of its slots that an endpoint keeps free of a tier, in percent.
-const RESERVE_LIMIT_PERCENT: f64 = 50.0;
+const RESERVE_LIMIT_PERCENT: f64 = 75.0;
 
 /// What a request that had to wait for a slot adds to them, in percent.
 const LACK_RISE_PERCENT: f64 = 3.0;
