Bound what is kept for tiers that need not wait, and mend the bench

Cause: the bench of a full fleet ran empty. It took a refusal for a decision (now it goes on to the next), and with seven tiers the lowest was held to a quarter of the slots: 449 of 1680 ran while 3252 waited.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -59,6 +59,7 @@
     classes: Vec<Name>,
     last_id: u64,
     running: Vec<u64>,
+    sent: u64,
     /// A millisecond passes with every request.
     now_ms: u64,
 }
@@ -75,6 +76,7 @@
             classes: (0..TIERS).map(|it| Name::from(format!("class-{it}"))).collect(),
             last_id: 0,
             running: Vec::new(),
+            sent: 0,
             now_ms: NOW_MS,
         }
     }
@@ -108,10 +110,15 @@
         self.scheduler.ask(job, self.now_ms, number);
     }
 
+    /// Gives out refusals, then one decision.
     fn next(&mut self) -> Act {
-        let act = self.scheduler.next(self.now_ms, self.last_id);
+        let mut act = self.scheduler.next(self.now_ms, self.last_id);
+        while matches!(act, Act::Refuse(..)) {
+            act = self.scheduler.next(self.now_ms, self.last_id);
+        }
         if let Act::Send(id, _) = act {
             self.running.push(id);
+            self.sent += 1;
         }
         act
     }
@@ -151,6 +158,7 @@
 fn when_full(criterion: &mut Criterion, endpoints: usize) {
     let mut load = Load::new(endpoints);
     load.fill();
+    let before = (load.last_id, load.sent);
     criterion.bench_function(&format!("full/{endpoints} endpoints"), |bencher| {
         bencher.iter(|| {
             load.finish_one();
@@ -158,6 +166,8 @@
             black_box(load.next());
         });
     });
+    let (asked, sent) = (load.last_id - before.0, load.sent - before.1);
+    println!("full/{endpoints} endpoints: {sent} sent of {asked} asked");
 }
 
 fn decisions(criterion: &mut Criterion) {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -27,6 +27,9 @@
 /// Most that waiting adds to the slots kept for higher tiers, in percent.
 const LACK_LIMIT_PERCENT: f64 = 60.0;
 
+/// Higher tiers for each of which slots are kept even if none had to wait.
+const LEAST_LIMIT_TIERS: f64 = 3.0;
+
 /// Most of its slots that an endpoint keeps free of a tier, in percent.
 const RESERVE_LIMIT_PERCENT: f64 = 75.0;
 
@@ -458,14 +461,16 @@
     /// Part of the slots to keep free of a tier because higher ones ask for the target, in
     /// percent: for each of those some, and the more, the more often it had to wait.
     pub(crate) fn reserve_percent(&self, rank: usize, least_percent: f64, now_ms: u64) -> f64 {
-        let mut reserve = 0.0;
+        let (mut least, mut lack) = (0.0, 0.0);
         for higher in 0..rank.min(RANK_LIMIT) {
             let asked_ms = self.demand_ms[higher];
             if asked_ms > 0 && now_ms.saturating_sub(asked_ms) <= DEMAND_MEMORY_MS {
-                reserve += least_percent + self.lack_percent[higher];
+                least += least_percent;
+                lack += self.lack_percent[higher];
             }
         }
-        reserve.min(RESERVE_LIMIT_PERCENT)
+        let least_limit = LEAST_LIMIT_TIERS * least_percent;
+        (f64::min(least, least_limit) + lack).min(RESERVE_LIMIT_PERCENT)
     }
 }
 
