--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -23,22 +23,12 @@
 }
 
 /// A body that arrives in chunks.
-///
-/// What feeds it runs within it, in the task of the caller's connection: a token then
-/// wakes one task instead of two, and stops being fetched when the caller leaves.
+#[derive(Debug)]
 pub struct StreamBody {
-    /// None once it has ended.
-    feed: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
     chunks: mpsc::Receiver<Chunk>,
     end: StreamEnd,
 }
 
-impl fmt::Debug for StreamBody {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("StreamBody").field("end", &self.end).finish_non_exhaustive()
-    }
-}
-
 /// How far a streamed body is from its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamEnd {
@@ -77,15 +67,11 @@
         AnswerBody::Whole(Some(bytes.into()))
     }
 
-    /// A streamed body that `feed` fills. If that ends without having sent
-    /// [`Chunk::End`], the body breaks off. It is dropped when the caller leaves.
-    pub fn stream<F>(feed: impl FnOnce(mpsc::Sender<Chunk>) -> F) -> AnswerBody
-    where
-        F: Future<Output = ()> + Send + 'static,
-    {
+    /// A streamed body and the end that feeds it. Dropping that end breaks the body off
+    /// unless [`Chunk::End`] was sent.
+    pub fn stream() -> (mpsc::Sender<Chunk>, AnswerBody) {
         let (sender, chunks) = mpsc::channel(STREAM_BUFFER_CHUNKS);
-        let feed = Some(Box::pin(feed(sender)) as Pin<Box<_>>);
-        AnswerBody::Stream(StreamBody { feed, chunks, end: StreamEnd::Open })
+        (sender, AnswerBody::Stream(StreamBody { chunks, end: StreamEnd::Open }))
     }
 }
 
@@ -96,7 +82,7 @@
             StreamEnd::Breaking => return Poll::Ready(Some(Err(Aborted))),
             StreamEnd::Open => {}
         }
-        match ready!(self.poll_next(cx)) {
+        match ready!(self.chunks.poll_recv(cx)) {
             Some(Chunk::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
             Some(Chunk::End) => {
                 self.end = StreamEnd::Finished;
@@ -113,25 +99,6 @@
     }
 }
 
-impl StreamBody {
-    /// The next chunk; none once the feed has ended.
-    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Chunk>> {
-        if let Ok(chunk) = self.chunks.try_recv() {
-            return Poll::Ready(Some(chunk));
-        }
-        if let Some(feed) = &mut self.feed
-            && feed.as_mut().poll(cx).is_ready()
-        {
-            self.feed = None;
-        }
-        match self.chunks.try_recv() {
-            Ok(chunk) => Poll::Ready(Some(chunk)),
-            Err(_) if self.feed.is_none() => Poll::Ready(None),
-            Err(_) => Poll::Pending,
-        }
-    }
-}
-
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = Aborted;
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -40,18 +40,6 @@
     attempts: Attempts,
     source: Option<Source>,
     delivered: Delivered,
-    stage: Stage,
-}
-
-/// Who tells how the request ended.
-#[derive(Clone, Copy)]
-enum Stage {
-    /// Whoever asked for the stream: nothing was sent to the caller yet.
-    Opening,
-    /// The stream itself.
-    Delivering { first_token_ms: u64 },
-    /// It was told.
-    Ended,
 }
 
 /// What of the answer has gone to the caller.
@@ -128,7 +116,6 @@
         attempts: Attempts::default(),
         source: None,
         delivered: Delivered::default(),
-        stage: Stage::Opening,
     };
     match relay.next().await {
         Relayed::Event(first) => Ok(relay.answer(first, false, slot)),
@@ -143,69 +130,72 @@
 }
 
 impl Relay {
-    /// The head of the answer; the rest is fed to the body.
+    /// The head of the answer; the rest is pumped by a task of its own.
     fn answer(
-        mut self,
+        self,
         first: Bytes,
         is_done: bool,
         slot: OwnedSemaphorePermit,
     ) -> Response<AnswerBody> {
-        let mut map = HeaderMap::new();
+        let (sender, body) = AnswerBody::stream();
+        let mut response = Response::new(body);
         if let Some(source) = &self.source {
-            map = source.headers.clone();
+            *response.headers_mut() = source.headers.clone();
         }
+        let map = response.headers_mut();
         map.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-        headers::insert_text(&mut map, headers::REQUEST_ID, &self.work.call.request_id);
+        headers::insert_text(map, headers::REQUEST_ID, &self.work.call.request_id);
         let waited_ms = self.shared.clock.now_ms().saturating_sub(self.work.arrived_ms);
         let class = &self.work.caller.class.class.name;
         counters::first_token(class, Duration::from_millis(waited_ms));
         let in_progress = self.shared.progress.begin();
-        self.stage = Stage::Delivering { first_token_ms: waited_ms };
-        let body = AnswerBody::stream(|sender| async move {
-            self.feed(sender, first, is_done).await;
+        tokio::spawn(async move {
+            self.pump(sender, first, is_done, waited_ms).await;
             drop((slot, in_progress));
         });
-        let mut response = Response::new(body);
-        *response.headers_mut() = map;
         response
     }
 
-    /// Passes on event by event. Dropped when the caller leaves.
-    async fn feed(mut self, sender: mpsc::Sender<BodyChunk>, first: Bytes, is_done: bool) {
-        let first = if is_done { Relayed::Done(first) } else { Relayed::Event(first) };
-        let mut ended = self.deliver(&sender, first).await;
+    async fn pump(
+        mut self,
+        sender: mpsc::Sender<BodyChunk>,
+        first: Bytes,
+        is_done: bool,
+        first_token_ms: u64,
+    ) {
+        let caller_left = Refusal::unknown(Reason::CallerLeft, "the caller left");
+        let mut ended = is_done.then_some(Ended::Answered);
+        if sender.send(BodyChunk::Data(first)).await.is_err() {
+            ended = Some(Ended::Refused(caller_left.clone()));
+        }
         while ended.is_none() {
-            let relayed = self.next().await;
-            ended = self.deliver(&sender, relayed).await;
+            let relayed = tokio::select! {
+                biased;
+                () = sender.closed() => None,
+                relayed = self.next() => Some(relayed),
+            };
+            ended = match relayed {
+                Some(relayed) => self.deliver(&sender, relayed).await,
+                None => Some(Ended::Refused(caller_left.clone())),
+            };
+        }
+        if let Some(Ended::Answered) = ended {
+            // A caller that has left needs no end.
+            let _ = sender.send(BodyChunk::End).await;
         }
         if let Some(ended) = ended {
-            self.record(ended);
+            let (first, tokens) = (Some(first_token_ms), self.delivered.tokens);
+            let delivery = self.work.delivery(&self.shared, first, tokens);
+            self.work.ended(&self.shared, ended, delivery);
         }
-    }
-
-    /// Records the end of a request whose answer has begun, once.
-    fn record(&mut self, ended: Ended) {
-        let Stage::Delivering { first_token_ms } = self.stage else {
-            return;
-        };
-        self.stage = Stage::Ended;
-        let tokens = self.delivered.tokens;
-        let delivery = self.work.delivery(&self.shared, Some(first_token_ms), tokens);
-        self.work.ended(&self.shared, ended, delivery);
+        counters::delivered(&self.work.caller.class.class.name, self.delivered.tokens);
     }
 
     /// Sends one step to the caller; gives how the request ended if it did.
     async fn deliver(&self, sender: &mpsc::Sender<BodyChunk>, relayed: Relayed) -> Option<Ended> {
         match relayed {
-            Relayed::Event(bytes) => {
-                send(sender, BodyChunk::Data(bytes)).await;
-                None
-            }
-            Relayed::Done(bytes) => {
-                send(sender, BodyChunk::Data(bytes)).await;
-                send(sender, BodyChunk::End).await;
-                Some(Ended::Answered)
-            }
+            Relayed::Event(bytes) => send(sender, bytes, None).await,
+            Relayed::Done(bytes) => send(sender, bytes, Some(Ended::Answered)).await,
             Relayed::Whole(_) => {
                 let message = "the endpoint answered with a document in place of a stream";
                 self.abort(sender, Refusal::unknown(Reason::BadAnswer, message)).await
@@ -221,7 +211,8 @@
         let mut event = b"data: ".to_vec();
         event.extend(refusal.document(&self.work.call.request_id));
         event.extend(b"\n\n");
-        send(sender, BodyChunk::Data(event.into())).await;
+        // A caller that has left needs no error.
+        let _ = sender.send(BodyChunk::Data(event.into())).await;
         Some(Ended::Refused(refusal))
     }
 
@@ -336,13 +327,6 @@
     }
 }
 
-impl Drop for Relay {
-    fn drop(&mut self) {
-        self.record(Ended::Refused(Refusal::unknown(Reason::CallerLeft, "the caller left")));
-        counters::delivered(&self.work.caller.class.class.name, self.delivered.tokens);
-    }
-}
-
 impl Delivered {
     /// Takes note of a chunk; says whether it is passed on.
     fn accept(&mut self, chunk: &Chunk<'_>, is_resumed: bool) -> bool {
@@ -430,9 +414,15 @@
     }
 }
 
-async fn send(sender: &mpsc::Sender<BodyChunk>, chunk: BodyChunk) {
-    // The receiver is the body that runs this feed: it cannot be gone.
-    let _ = sender.send(chunk).await;
+async fn send(
+    sender: &mpsc::Sender<BodyChunk>,
+    bytes: Bytes,
+    ended: Option<Ended>,
+) -> Option<Ended> {
+    match sender.send(BodyChunk::Data(bytes)).await {
+        Ok(()) => ended,
+        Err(_) => Some(Ended::Refused(Refusal::unknown(Reason::CallerLeft, "the caller left"))),
+    }
 }
 
 fn broken(reason: Reason) -> Step {
