Let admission mind the length a caller asks for

Ruled out: learning by max_tokens as a key, which scatters what is learnt. A bound that is no number stays the endpoint's matter.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -101,6 +101,7 @@
             arrived_ms: self.now_ms,
             deadline_ms: self.now_ms + 10_000_000,
             delivered_tokens: 0,
+            limit_tokens: None,
             is_stream: true,
             prefix: PrefixHashes(vec![number % 500, number]),
             fingerprint: Fingerprint::new("account", "model", &number.to_le_bytes()),
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -110,6 +110,8 @@
     pub deadline_ms: u64,
     /// Tokens that earlier attempts delivered.
     pub delivered_tokens: u32,
+    /// Most tokens the caller asked for, over all attempts.
+    pub limit_tokens: Option<u32>,
     /// Whether its tokens can be seen as they come.
     pub is_stream: bool,
     /// Prefixes of its prompt.
@@ -620,7 +622,8 @@
     if job.kind == Kind::Service {
         return 0;
     }
-    let tokens = predictor.tokens(&length_key(job), &job.prior, 0.5);
+    let expected = predictor.tokens(&length_key(job), &job.prior, 0.5);
+    let tokens = job.limit_tokens.map_or(expected, |limit| limit.min(expected));
     tokens.saturating_sub(job.delivered_tokens).max(1)
 }
 
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -63,6 +63,8 @@
     pub deadline_at_ms: u64,
     /// Tokens that earlier attempts delivered.
     pub delivered_tokens: u32,
+    /// Most tokens the caller asked for.
+    pub limit_tokens: Option<u32>,
     /// Whether its tokens can be seen as they come.
     pub is_stream: bool,
     /// Prefixes of its prompt.
@@ -349,6 +351,7 @@
             arrived_ms: start_unix_ms + self.arrived_ms,
             deadline_ms: start_unix_ms + self.deadline_at_ms,
             delivered_tokens: self.delivered_tokens,
+            limit_tokens: self.limit_tokens,
             is_stream: self.is_stream,
             prefix: self.prefix.clone(),
             fingerprint: self.fingerprint,
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -51,6 +51,7 @@
     headers: Vec<HeaderLine>,
     body: Vec<u8>,
     fingerprint: [u8; 16],
+    limit_tokens: Option<u32>,
     left_ms: u64,
 }
 
@@ -175,6 +176,7 @@
             headers: lines(&call.headers),
             body: call.body.to_vec(),
             fingerprint: work.content.fingerprint.bytes(),
+            limit_tokens: work.content.limit_tokens,
             left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         }
     }
@@ -195,6 +197,7 @@
         let target = Target { kind: self.kind, name: self.target };
         let content = Content {
             is_stream: false,
+            limit_tokens: self.limit_tokens,
             prefix: PrefixHashes::default(),
             fingerprint: Fingerprint::from_bytes(self.fingerprint),
         };
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -63,6 +63,11 @@
     model: Cow<'a, str>,
     #[serde(default)]
     stream: bool,
+    /// Bounds on the answer's length. Whether they are numbers is the endpoint's matter.
+    #[serde(borrow, default)]
+    max_tokens: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    max_completion_tokens: Option<&'a RawValue>,
     /// The prompt as it stands.
     #[serde(borrow, default)]
     messages: Option<&'a RawValue>,
@@ -303,8 +308,11 @@
 
 fn chat_content(caller: &Caller, target: &Target, head: &ChatHead<'_>) -> Content {
     let prompt = head.messages.map_or("", RawValue::get).as_bytes();
+    let limits = [head.max_tokens, head.max_completion_tokens];
+    let limits = limits.into_iter().flatten().filter_map(|it| it.get().parse().ok());
     Content {
         is_stream: head.stream,
+        limit_tokens: limits.min(),
         prefix: PrefixHashes::new(&target.name, prompt),
         fingerprint: Fingerprint::new(&caller.account, &target.name, prompt),
     }
@@ -330,7 +338,12 @@
     let (parts, body) = request.into_parts();
     let body = read_body(shared, body).await?;
     let fingerprint = Fingerprint::new(&caller.account, uri.path(), &body);
-    let content = Content { is_stream: false, prefix: PrefixHashes::default(), fingerprint };
+    let content = Content {
+        is_stream: false,
+        limit_tokens: None,
+        prefix: PrefixHashes::default(),
+        fingerprint,
+    };
     let call = call(parts.method, uri, &parts.headers, body, request_id, &caller);
     Ok(Work { caller, target, call, content, arrived_ms })
 }
--- a/crates/daemon/src/work.rs
+++ b/crates/daemon/src/work.rs
@@ -37,6 +37,8 @@
 pub struct Content {
     /// Whether the answer is to be streamed.
     pub is_stream: bool,
+    /// Most tokens the caller asked for.
+    pub limit_tokens: Option<u32>,
     /// Prefixes of its prompt.
     pub prefix: PrefixHashes,
     /// The same for the same content of the same account.
@@ -164,6 +166,7 @@
             arrived_ms: work.arrived_ms,
             deadline_at_ms: work.deadline_at_ms(),
             delivered_tokens: u32::try_from(delivered_tokens).unwrap_or(u32::MAX),
+            limit_tokens: work.content.limit_tokens,
             is_stream: work.content.is_stream,
             prefix: work.content.prefix.clone(),
             fingerprint: work.content.fingerprint,
--- a/crates/daemon/tests/policy.rs
+++ b/crates/daemon/tests/policy.rs
@@ -176,3 +176,21 @@
     assert!(begun.elapsed() < Duration::from_millis(100));
     assert_eq!(runs(&fleet).len(), 6);
 }
+
+/// A deadline within which an answer of the usual length does not fit, in milliseconds.
+const SHORT_DEADLINE_MS: u64 = 300;
+
+#[tokio::test]
+async fn a_short_answer_is_not_refused_for_the_usual_length() {
+    let fleet = fleet(1, 1, 8, "").await;
+    let address = fleet.instances[0].address();
+    for _ in 0..4 {
+        let usual = Call::chat(URGENT_CLASS, "act").max_tokens(200).send(address).await;
+        assert_eq!(usual.outcome(), Some(Outcome::Answered), "{usual:?}");
+    }
+    let call = || Call::chat(URGENT_CLASS, "act").deadline_ms(SHORT_DEADLINE_MS);
+    let long = call().send(address).await;
+    assert_eq!(long.reason(), Some(Reason::Infeasible), "{long:?}");
+    let short = call().max_tokens(4).send(address).await;
+    assert_eq!(short.outcome(), Some(Outcome::Answered), "{short:?}");
+}
