--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -5,9 +5,11 @@
 use criterion::{Criterion, criterion_group, criterion_main};
 use tanagergauge_core::{
     Name,
+    act::Act,
+    job::{End, Job},
     prefix::PrefixHashes,
     quarantine::Fingerprint,
-    scheduler::{Act, End, Job, Scheduler, SchedulerSettings},
+    scheduler::{Scheduler, SchedulerSettings},
     sheet::{AvailabilityZone, ClientAccount, Endpoint, Kind, OutputPrior, Sheet},
 };
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! random number: time comes in as milliseconds and randomness as a number, so
 //! that the code which runs is the code which is model-checked and benchmarked.
 
+pub mod act;
 pub mod admit;
 pub mod batch;
 pub mod check;
@@ -17,6 +18,7 @@
 pub mod fleet;
 pub mod fold;
 pub mod gossip;
+pub mod job;
 pub mod key;
 pub mod keytable;
 pub mod lease;
@@ -39,6 +41,7 @@
 pub mod record;
 pub mod rendezvous;
 pub mod retry;
+mod running;
 mod scalar;
 pub mod scheduler;
 pub mod share;
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -6,16 +6,19 @@
 
 use crate::{
     Name, Reason,
+    act::{Act, Refused},
     admit::{Admission, Capacity, Demand, Returns, admit, service_ms, slot_interval_ms},
     choose::{Choice, Request},
     fleet::{EndpointIndex, Fleet, FleetSettings},
-    predict::{LengthKey, Predictor},
-    prefix::{PrefixHashes, PrefixIndex},
+    job::{End, Job},
+    predict::Predictor,
+    prefix::PrefixIndex,
     quarantine::{Fingerprint, Quarantine, QuarantineSettings, Verdict},
     queue::{Entry, Next, Offer, Push, Queue, QueueSettings, Supply, Turn},
     retry::{RetryBudget, RetrySettings},
+    running::{Busy, Running},
     share::Shares,
-    sheet::{Kind, OutputPrior, Sheet},
+    sheet::{Kind, Sheet},
 };
 
 /// Tokens of a prompt that cost as much as one token of an answer.
@@ -79,91 +82,6 @@
     }
 }
 
-/// A request that asks for an endpoint, for one attempt.
-#[derive(Clone, Debug)]
-pub struct Job {
-    /// Unique at the instance, new for each attempt.
-    pub id: u64,
-    /// Number of the attempt, from 1.
-    pub attempt: u32,
-    /// What it asks for.
-    pub kind: Kind,
-    /// The target's name, as [`crate::fleet::target_name`] gives it.
-    pub target: Name,
-    /// Its class.
-    pub class: Name,
-    /// Rank of the class's tier.
-    pub tier_rank: usize,
-    /// Share of dispatches the class gets under any load, in percent.
-    pub floor_percent: u32,
-    /// What the sheet says of its answers' length.
-    pub prior: OutputPrior,
-    /// Its class's target for the first token.
-    pub first_token_ms: u64,
-    /// Who asks.
-    pub account: Name,
-    /// Bytes of its body.
-    pub bytes: usize,
-    /// When the request arrived.
-    pub arrived_ms: u64,
-    /// When its caller stops waiting.
-    pub deadline_ms: u64,
-    /// Tokens that earlier attempts delivered.
-    pub delivered_tokens: u32,
-    /// Most tokens the caller asked for, over all attempts.
-    pub limit_tokens: Option<u32>,
-    /// Whether its tokens can be seen as they come.
-    pub is_stream: bool,
-    /// Prefixes of its prompt.
-    pub prefix: PrefixHashes,
-    /// What it is known by if it crashes endpoints.
-    pub fingerprint: Fingerprint,
-    /// Endpoints that failed it.
-    pub avoid: Vec<EndpointIndex>,
-    /// An endpoint was lost with it, and whether by it is being found out.
-    pub is_suspect: bool,
-}
-
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// With a whole answer.
-    Answered,
-    /// By the endpoint's fault, before it took the request.
-    NotTaken,
-    /// By the endpoint's fault: it broke off or gave no proper answer.
-    Broke,
-    /// The endpoint went down with it: it broke off and takes no connection since.
-    Lost,
-    /// By the endpoint's fault: it was too slow.
-    TooSlow,
-    /// By no fault of the endpoint.
-    Released,
-}
-
-/// What to do next.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Act {
-    /// Send the job there.
-    Send(u64, EndpointIndex),
-    /// Tell its caller that it did not run (this time).
-    Refuse(u64, Refused),
-    /// Nothing until then, unless something happens.
-    Wait {
-        /// When to ask again.
-        until_ms: u64,
-    },
-}
-
-/// Why a job is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refused {
-    /// Why.
-    pub reason: Reason,
-    /// When the caller may come again.
-    pub retry_after_ms: Option<u64>,
-}
-
 /// The policy of one instance.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -194,26 +112,6 @@
     judged_ms: u64,
 }
 
-#[derive(Clone, Debug)]
-struct Running {
-    job: Job,
-    endpoint: EndpointIndex,
-    sent_ms: u64,
-    charged_tokens: u64,
-    tokens: u32,
-    /// When tokens last came.
-    heard_ms: u64,
-}
-
-/// Sums over the running jobs.
-#[derive(Clone, Debug, Default)]
-struct Busy {
-    /// Running jobs by target, and in that by rank.
-    counts: IndexMap<Name, Vec<u32>>,
-    /// Sum of the times at which they were sent.
-    sent_ms: u64,
-}
-
 impl Scheduler {
     /// The policy of an instance in an availability zone.
     pub fn new(
@@ -387,7 +285,7 @@
             self.fleet.tokens(running.endpoint, tokens, (elapsed_ms - waited_ms).max(1.0));
         }
         let total_tokens = running.job.delivered_tokens + tokens;
-        let key = length_key(&running.job);
+        let key = running.job.length_key();
         self.predictor.observe(&key, &running.job.prior, total_tokens);
     }
 
@@ -451,7 +349,7 @@
             bytes: job.bytes,
             arrived_ms: job.arrived_ms,
             start_by_ms: job.deadline_ms.saturating_sub(service_ms),
-            on_time_until_ms: on_time_until_ms(&job, &capacity),
+            on_time_until_ms: job.on_time_until_ms(&capacity),
             cost_tokens: u64::from(tokens) + prompt_tokens / PROMPT_TOKENS_A_TOKEN,
             started: job.delivered_tokens > 0,
         };
@@ -580,49 +478,11 @@
     }
 }
 
-impl Busy {
-    fn add(&mut self, running: &Running) {
-        self.sent_ms += running.sent_ms;
-        let rank = running.job.tier_rank;
-        let counts = self.counts.entry(running.job.target.clone()).or_default();
-        if counts.len() <= rank {
-            counts.resize(rank + 1, 0);
-        }
-        counts[rank] += 1;
-    }
-
-    fn remove(&mut self, running: &Running) {
-        self.sent_ms -= running.sent_ms;
-        if let Some(counts) = self.counts.get_mut(&running.job.target) {
-            counts[running.job.tier_rank] -= 1;
-        }
-    }
-
-    /// Jobs of a tier and those above it that run for a target.
-    fn up_to(&self, target: &Name, rank: usize) -> u32 {
-        let counts = self.counts.get(target);
-        counts.map_or(0, |it| it.iter().take(rank + 1).sum())
-    }
-}
-
-/// Until when a dispatch meets the target for the first token; for a job that has begun, always.
-fn on_time_until_ms(job: &Job, capacity: &Capacity) -> u64 {
-    if job.delivered_tokens > 0 {
-        return u64::MAX;
-    }
-    let start_ms = capacity.first_token_mostly_ms as u64;
-    (job.arrived_ms + job.first_token_ms).saturating_sub(start_ms)
-}
-
-fn length_key(job: &Job) -> LengthKey {
-    LengthKey { class: job.class.clone(), account: job.account.clone(), model: job.target.clone() }
-}
-
 fn tokens_left(predictor: &Predictor, job: &Job) -> u32 {
     if job.kind == Kind::Service {
         return 0;
     }
-    let expected = predictor.tokens(&length_key(job), &job.prior, 0.5);
+    let expected = predictor.tokens(&job.length_key(), &job.prior, 0.5);
     let tokens = job.limit_tokens.map_or(expected, |limit| limit.min(expected));
     tokens.saturating_sub(job.delivered_tokens).max(1)
 }
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -12,10 +12,12 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tanagergauge_core::{
     Name, Reason,
+    act::{Act, Refused},
     fleet::{EndpointIndex, target_name},
+    job::{End, Job},
     prefix::PrefixHashes,
     quarantine::{Fingerprint, Suspicion},
-    scheduler::{Act, End, Job, Refused, Scheduler},
+    scheduler::Scheduler,
     sheet::Endpoint,
 };
 use tokio::{
--- a/crates/daemon/src/permit.rs
+++ b/crates/daemon/src/permit.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::{Request, header::HOST};
 use ractor::ActorRef;
-use tanagergauge_core::{Reason, scheduler::End, sheet::Endpoint};
+use tanagergauge_core::{Reason, job::End, sheet::Endpoint};
 use tokio::{sync::oneshot, time::timeout};
 
 use crate::{attempt::Failure, dispatcher::Message, pool::Pool};
