Keep 40 in 100 of the slots for a higher tier that asks, in place of 12

Cause: booth requests that missed had found every slot of their model's engines taken by streams of lower tiers; with 12 in 100 of 8 slots one slot is kept. Ruled out: more overcommit, since what waits at an engine waits behind running streams.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -80,7 +80,7 @@
     fn default() -> FleetSettings {
         FleetSettings {
             routing: Routing::Full,
-            reserve_percent: 12,
+            reserve_percent: 40,
             overcommit_percent: 25,
             patience_percent: 50,
             outlier_factor: 3.0,
