--- a/crates/tool/src/cli.rs
+++ b/crates/tool/src/cli.rs
@@ -35,7 +35,7 @@
         .subcommand(sheet_command())
         .subcommand(operate_command("status", "Show what an instance does and knows of the fleet"))
         .subcommand(
-            operate_command("events", "Show the latest decisions of an instance").arg(
+            log_command(operate_command("events", "Show the latest decisions of an instance")).arg(
                 Arg::new("limit")
                     .long("limit")
                     .value_parser(value_parser!(u32))
@@ -44,7 +44,11 @@
             ),
         )
         .subcommand(
-            operate_command("explain", "Show what the fleet decided for a request, and why").arg(
+            log_command(operate_command(
+                "explain",
+                "Show what the fleet decided for a request, and why",
+            ))
+            .arg(
                 Arg::new("request-id")
                     .required(true)
                     .value_name("REQUEST-ID")
@@ -127,6 +131,23 @@
         )
 }
 
+/// Adds saved logs as another source than a live instance.
+fn log_command(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new("log")
+                .long("log")
+                .value_name("FILE")
+                .action(ArgAction::Append)
+                .value_hint(ValueHint::FilePath)
+                .value_parser(value_parser!(PathBuf))
+                .conflicts_with_all(["control", "keys"])
+                .help("Saved JSON log of an instance, named after it; no instance is asked"),
+        )
+        .mut_arg("control", |it| it.required(false).required_unless_present("log"))
+        .mut_arg("keys", |it| it.required(false).required_unless_present("log"))
+}
+
 fn try_command() -> Command {
     Command::new("try")
         .about("Bring up a whole deployment in this process and send a request of each class")
--- a/crates/tool/src/main.rs
+++ b/crates/tool/src/main.rs
@@ -14,6 +14,7 @@
 mod profile;
 mod program;
 mod report;
+mod saved;
 mod sheet;
 mod stage;
 mod tally;
--- a/crates/tool/src/program.rs
+++ b/crates/tool/src/program.rs
@@ -15,6 +15,7 @@
     output::read,
     plan::Entry,
     profile::Profile,
+    saved::{self, SavedOptions},
     sheet::{self, PublishOptions},
     trial::{self, TrialOptions},
 };
@@ -44,11 +45,18 @@
     match matches.subcommand() {
         Some(("sheet", matches)) => sheet_job(matches).await,
         Some(("status", matches)) => operate::status(operate_options(matches)).await,
+        Some(("events", matches)) if matches.contains_id("log") => {
+            let limit: u32 = value(matches, "limit");
+            saved::events(&saved_options(matches), limit as usize)
+        }
         Some(("events", matches)) => {
             operate::events(operate_options(matches), value(matches, "limit")).await
         }
         Some(("explain", matches)) => {
             let request_id = Name::from(value::<String>(matches, "request-id"));
+            if matches.contains_id("log") {
+                return saved::explain(&saved_options(matches), &request_id);
+            }
             operate::explain(operate_options(matches), request_id).await
         }
         Some(("try", matches)) => trial::run(trial_options(matches)?).await,
@@ -98,6 +106,11 @@
     }
 }
 
+fn saved_options(matches: &ArgMatches) -> SavedOptions {
+    let logs = matches.get_many::<PathBuf>("log").unwrap_or_default();
+    SavedOptions { logs: logs.cloned().collect(), output: cli::output(matches) }
+}
+
 fn trial_options(matches: &ArgMatches) -> Result<TrialOptions, Failure> {
     let sheet = match option::<PathBuf>(matches, "sheet") {
         Some(path) => sheet::load(&path)?.sheet,
