--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -18,10 +18,11 @@
     loads::{EndpointLoad, Load, endpoint_hash},
     order::{Homes, mix},
     parts::{self, Part},
+    placements::Placement,
 };
 
 /// What reading takes from others, beside the time of the request itself.
-const READING_WEIGHT: f64 = 8.0;
+const READING_WEIGHT: f64 = 10.0;
 /// What each running stream adds to the choice, in milliseconds.
 const RUNNING_MS: f64 = 2.0;
 /// What a certain failure would cost, in milliseconds.
@@ -83,6 +84,27 @@
     pub unread_tokens: u32,
     /// The request needs pauses that reading would break.
     pub needs_quiet: bool,
+    /// The endpoint begins to keep a part that others may share.
+    pub is_placement: bool,
+    /// What was believed of the endpoint.
+    pub belief: Belief,
+}
+
+/// What was believed of an endpoint when it was chosen.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Belief {
+    /// Requests there, of all instances.
+    pub running: f64,
+    /// Prompt tokens that it had to read first, of all instances.
+    pub ahead_tokens: f64,
+    /// Time by which its last answers were later than expected, in milliseconds.
+    pub delay_ms: f64,
+    /// Age of what other instances told, in milliseconds; `None` if they told nothing of late.
+    pub others_age_ms: Option<u64>,
+    /// Part of its service's engines that was kept for streams with tight pauses.
+    pub quiet_share: f64,
+    /// It is one of these.
+    pub is_quiet: bool,
 }
 
 /// Why there is no endpoint.
@@ -107,13 +129,26 @@
     heat: HashMap<Name, Heat>,
     /// When other instances' work was last told; `None` before.
     others_ms: Option<u64>,
+    /// Since peers were last told.
+    placements: Vec<Placement>,
+    /// Peers tell what they place, so that a part of which nothing is known is kept nowhere.
+    hears_placements: bool,
 }
 
 impl Balancer {
     /// Knows no endpoint.
     pub fn new(settings: BalanceSettings) -> Balancer {
         let (endpoints, demand, other_demand, heat) = Default::default();
-        Balancer { settings, endpoints, demand, other_demand, heat, others_ms: None }
+        Balancer {
+            settings,
+            endpoints,
+            demand,
+            other_demand,
+            heat,
+            others_ms: None,
+            placements: Vec::new(),
+            hears_placements: false,
+        }
     }
 
     /// Work that this instance has in progress.
@@ -131,6 +166,27 @@
         busy.map(load).chain(demand).collect()
     }
 
+    /// Endpoints that began to keep parts, since the last call.
+    pub fn take_placements(&mut self) -> Vec<Placement> {
+        std::mem::take(&mut self.placements)
+    }
+
+    /// Other instances let endpoints read parts; all they did of late.
+    pub fn hear_placements(&mut self, placements: &[Placement], now_ms: u64) {
+        self.hears_placements = true;
+        if placements.is_empty() {
+            return;
+        }
+        let mut by_endpoint: HashMap<u32, Vec<u64>> = HashMap::new();
+        for it in placements {
+            by_endpoint.entry(it.endpoint).or_default().push(it.part);
+        }
+        for it in self.endpoints.values_mut() {
+            let parts = by_endpoint.get(&it.hash).into_iter().flatten();
+            parts.for_each(|part| it.kept.told(*part, now_ms));
+        }
+    }
+
     /// Takes in the work that all other instances have in progress.
     pub fn set_other_loads(&mut self, loads: &[EndpointLoad], now_ms: u64) {
         let by_hash: HashMap<u32, Load> = loads.iter().map(|it| (it.endpoint, it.load)).collect();
@@ -145,13 +201,18 @@
 
     /// Work of other instances at an endpoint; guessed from its own while nobody tells.
     fn others(&self, it: &Endpoint, now_ms: u64) -> (f64, f64) {
-        let told = self.others_ms.is_some_and(|at| now_ms.saturating_sub(at) < OTHERS_AGE_MS);
-        if told {
+        if self.others_age_ms(now_ms).is_some() {
             return (f64::from(it.others.running), f64::from(it.others.unread_tokens));
         }
         (f64::from(it.running), it.unread_tokens)
     }
 
+    /// Age of what other instances told; `None` if it is too old to use.
+    fn others_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let age_ms = self.others_ms.map(|at| now_ms.saturating_sub(at));
+        age_ms.filter(|it| *it < OTHERS_AGE_MS)
+    }
+
     /// Takes in what an endpoint says of itself. Returns whether anything but load changed.
     pub fn upsert(&mut self, facts: EndpointFacts) -> bool {
         let service = facts.service.clone();
@@ -264,7 +325,10 @@
         let part = parts::shared_part(ask.parts).map(|it| it.id);
         let heat = self.heat.get(ask.service);
         let share = heat.zip(part).map_or(0.0, |(heat, part)| heat.share(part, now_ms));
-        Homes::new(part, possible, share)
+        let is_known =
+            |id: u64| self.endpoints.values().any(|it| it.kept.keeps(id) && !it.facts.leaving);
+        let keep = !self.hears_placements && !part.is_some_and(is_known);
+        Homes::new(part, possible, share, keep)
     }
 
     /// Part of a service's engines that is kept for streams with tight pauses.
@@ -296,9 +360,9 @@
         now_ms: u64,
     ) -> Cost {
         let rank = homes.rank(it);
-        let kept = it.kept.kept_tokens(ask.parts);
-        let kept =
-            if rank < homes.count { kept.max(parts::shared_tokens(ask.parts)) } else { kept };
+        let (kept, shared) = (it.kept.kept_tokens(ask.parts), parts::shared_tokens(ask.parts));
+        let is_placement = kept < shared;
+        let kept = if rank < homes.count && homes.keep { kept.max(shared) } else { kept };
         let unread_tokens = parts::all_tokens(ask.parts).saturating_sub(kept);
         let expected_ms = if ask.parts.is_empty() {
             self.plain_ms(it, now_ms)
@@ -321,7 +385,22 @@
             + tie_ms;
         let (id, address) = (it.facts.id.clone(), it.facts.address);
         let needs_quiet = ask.needs_quiet;
-        Cost { total_ms, chosen: Chosen { id, address, expected_ms, unread_tokens, needs_quiet } }
+        let belief = self.belief(it, quiet_share, now_ms);
+        let chosen =
+            Chosen { id, address, expected_ms, unread_tokens, needs_quiet, is_placement, belief };
+        Cost { total_ms, chosen }
+    }
+
+    fn belief(&self, it: &Endpoint, quiet_share: f64, now_ms: u64) -> Belief {
+        let (running, unread_tokens) = self.others(it, now_ms);
+        Belief {
+            running: it.load(running, now_ms),
+            ahead_tokens: it.unread_tokens + unread_tokens,
+            delay_ms: it.delay_ms(now_ms),
+            others_age_ms: self.others_age_ms(now_ms),
+            quiet_share,
+            is_quiet: it.quiet_place < quiet_share,
+        }
     }
 
     /// Time until a prompt is read at an engine.
@@ -348,22 +427,35 @@
         }
     }
 
+    /// A caller came with a request for which an endpoint was chosen, whether it is sent or not.
+    ///
+    /// What is refused counts too: if it did not, engines kept for other streams would not be
+    /// given back while it is refused for want of them.
+    pub fn asked(&mut self, chosen: &Chosen, service: &Name, now_ms: u64) {
+        let demand = self.demand.entry(service.clone()).or_default();
+        demand.reads(chosen.unread_tokens, now_ms);
+    }
+
     /// A request was sent.
     pub fn sent(&mut self, chosen: &Chosen, parts: &[Part], now_ms: u64) {
         let Some(it) = self.endpoints.get_mut(&chosen.id) else { return };
         if !parts.is_empty() {
-            let demand = self.demand.entry(it.facts.service.clone()).or_default();
-            demand.reads(chosen.unread_tokens, now_ms);
             if let Some(part) = parts::shared_part(parts) {
                 let heat = self.heat.entry(it.facts.service.clone()).or_default();
                 heat.asked(part.id, now_ms);
             }
             if chosen.needs_quiet {
+                let demand = self.demand.entry(it.facts.service.clone()).or_default();
                 demand.quiet_stream(true, now_ms);
             }
         }
         it.running += 1;
         it.unread_tokens += f64::from(chosen.unread_tokens);
+        if let [.., part, _] = parts
+            && chosen.is_placement
+        {
+            self.placements.push(Placement { part: part.id, endpoint: it.hash });
+        }
         it.kept.sent(parts, now_ms);
     }
 
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -17,7 +17,7 @@
 /// Least and greatest part of the engines that is kept for streams while there are any.
 const QUIET_SHARES: (f64, f64) = (0.12, 0.7);
 
-/// Demand that one instance sends to one service.
+/// Demand that callers bring to one instance for one service.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
     /// Prompt tokens to read, by the averaging time.
@@ -30,7 +30,7 @@
 }
 
 impl Demand {
-    /// A prompt was sent that an engine has to read that much of.
+    /// A prompt came that an engine has to read that much of.
     pub fn reads(&mut self, tokens: u32, now_ms: u64) {
         self.update(now_ms);
         self.reading_tokens += f64::from(tokens);
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -18,16 +18,23 @@
 const RATIO_FLOOR_MS: f64 = 50.0;
 /// Least and greatest ratio that is believed.
 const RATIOS: (f64, f64) = (0.7, 3.0);
-/// Expected time to the first byte, in goals, up to which every request is let in.
-const ON_TIME: f64 = 0.7;
-/// The same for requests that were refused before.
-const ON_TIME_RETURNED: f64 = 1.1;
+/// Expected time to the first byte, in goals, up to which every request is let in, before it is
+/// known how many of them are late.
+const ON_TIME: f64 = 0.85;
+/// Least and greatest such time that is learnt.
+const ON_TIME_BOUNDS: (f64, f64) = (0.5, 1.0);
+/// Part of those let in that may be late.
+const LATE_PART: f64 = 0.08;
+/// How much one late request moves what is learnt.
+const LATE_STEP: f64 = 0.04;
+/// What is added for requests that were refused before.
+const RETURNED_MORE: f64 = 0.45;
 /// The same while less urgent requests can be refused first.
 const ON_TIME_URGENT: f64 = 1.6;
 /// Goals beyond it at which every request is refused.
 const FULL_REFUSAL: f64 = 0.4;
 /// Part of the time left after which the refused come again: the earliest and the latest.
-const RETURN_PARTS: (f64, f64) = (0.16, 0.33);
+pub(crate) const RETURN_PARTS: (f64, f64) = (0.16, 0.33);
 /// Time after its last first byte up to which a rank counts as active, in milliseconds.
 const ACTIVE_MS: u64 = 3_000;
 
@@ -58,6 +65,17 @@
     ComeAgain(f64),
 }
 
+/// What is to be done with a request, and what decided it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Decision {
+    /// What is to be done.
+    pub entry: Entry,
+    /// By how much longer than expected requests of its rank took of late.
+    pub ratio: f64,
+    /// Part of such requests that is refused.
+    pub refused_part: f64,
+}
+
 /// The gate of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Gate {
@@ -74,6 +92,8 @@
     at_ms: u64,
     /// Goal of the newest request, in milliseconds.
     goal_ms: f64,
+    /// Added to [`ON_TIME`]; stays within [`ON_TIME_BOUNDS`].
+    on_time_change: f64,
 }
 
 impl Gate {
@@ -87,6 +107,7 @@
         now_ms: u64,
     ) {
         let it = self.by_rank.entry(rank).or_default();
+        it.learn_on_time(took_ms > goal_ms);
         let kept = it.kept(now_ms);
         let learn = |old: f64, new: f64| old * kept + LEARNING_WEIGHT * (new - old * kept);
         it.took_ms = learn(it.took_ms, took_ms);
@@ -100,28 +121,28 @@
         self.by_rank.get(&rank).map_or(0.0, |it| (it.took_ms - it.expected_ms) * it.kept(now_ms))
     }
 
+    /// Expected time, in goals, up to which all requests of a rank are let in.
+    fn on_time(&self, rank: u8, now_ms: u64) -> f64 {
+        let learnt = self.by_rank.get(&rank).filter(|it| it.is_active(now_ms));
+        learnt.map_or(ON_TIME, |it| ON_TIME + it.on_time_change)
+    }
+
     /// Whether a request is let in.
-    pub fn decide(&self, entrant: &Entrant, now_ms: u64) -> Entry {
-        let part = self.refused_part(entrant, now_ms);
-        // A draw decides twice: whether, and when to return.
-        if entrant.draw >= part {
-            return Entry::Enter;
-        }
-        let (earliest, latest) = RETURN_PARTS;
-        let place = entrant.draw / part;
-        Entry::ComeAgain(entrant.left_ms * (earliest + (latest - earliest) * place))
+    pub fn decide(&self, entrant: &Entrant, now_ms: u64) -> Decision {
+        let ratio = self.by_rank.get(&entrant.rank).map_or(1.0, |it| it.ratio(now_ms));
+        let refused_part = self.refused_part(entrant, ratio, now_ms);
+        Decision { entry: entry(entrant, refused_part), ratio, refused_part }
     }
 
-    fn refused_part(&self, entrant: &Entrant, now_ms: u64) -> f64 {
+    fn refused_part(&self, entrant: &Entrant, ratio: f64, now_ms: u64) -> f64 {
         let mut less_urgent = self.by_rank.range(entrant.rank + 1..);
         let on_time = if less_urgent.any(|(_, it)| it.is_active(now_ms)) {
             ON_TIME_URGENT
         } else if entrant.returned {
-            ON_TIME_RETURNED
+            self.on_time(entrant.rank, now_ms) + RETURNED_MORE
         } else {
-            ON_TIME
+            self.on_time(entrant.rank, now_ms)
         };
-        let ratio = self.by_rank.get(&entrant.rank).map_or(1.0, |it| it.ratio(now_ms));
         let own = part_beyond(entrant.expected_ms * ratio / entrant.goal_ms.max(1.0), on_time);
         let more_urgent = self.by_rank.range(..entrant.rank);
         let theirs = more_urgent.map(|(_, it)| part_beyond(it.pressure(now_ms), ON_TIME));
@@ -129,12 +150,31 @@
     }
 }
 
+fn entry(entrant: &Entrant, refused_part: f64) -> Entry {
+    // A draw decides twice: whether, and when to return.
+    if entrant.draw >= refused_part {
+        return Entry::Enter;
+    }
+    let (earliest, latest) = RETURN_PARTS;
+    let place = entrant.draw / refused_part;
+    Entry::ComeAgain(entrant.left_ms * (earliest + (latest - earliest) * place))
+}
+
 /// Part to refuse of requests that take so many goals, of which some are on time.
 fn part_beyond(goals: f64, on_time: f64) -> f64 {
     ((goals - on_time) / FULL_REFUSAL).clamp(0.0, 1.0)
 }
 
 impl Learnt {
+    /// Lets in less after a late request and more after one that was on time, so that in the
+    /// mean [`LATE_PART`] of them are late.
+    fn learn_on_time(&mut self, is_late: bool) {
+        let (least, greatest) = ON_TIME_BOUNDS;
+        let late = f64::from(u8::from(is_late));
+        let change = self.on_time_change - LATE_STEP * (late - LATE_PART);
+        self.on_time_change = change.clamp(least - ON_TIME, greatest - ON_TIME);
+    }
+
     /// Part of what was learnt that still counts.
     fn kept(&self, now_ms: u64) -> f64 {
         (-(now_ms.saturating_sub(self.at_ms) as f64) / HALF_LIFE_MS).exp2()
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -7,9 +7,6 @@
 
 use crate::Name;
 
-/// Distinct endpoints lost with a request in them at which it is quarantined.
-const LOSS_LIMIT: usize = 2;
-
 /// Most fingerprints kept.
 const FINGERPRINT_LIMIT: usize = 1024;
 
@@ -32,11 +29,13 @@
     pub memory_ms: u64,
     /// How long a trial is announced before it begins, so that peers learn of it.
     pub settle_ms: u64,
+    /// Distinct endpoints lost with a request in them at which it is quarantined.
+    pub loss_limit: usize,
 }
 
 impl Default for QuarantineSettings {
     fn default() -> QuarantineSettings {
-        QuarantineSettings { memory_ms: 600_000, settle_ms: 200 }
+        QuarantineSettings { memory_ms: 600_000, settle_ms: 200, loss_limit: 2 }
     }
 }
 
@@ -133,8 +132,9 @@
         if losses.is_empty() {
             return Verdict::Run;
         }
-        if losses.len() >= LOSS_LIMIT {
-            let until_ms = suspicion.ends_ms(since_ms) + self.settings.memory_ms;
+        if losses.len() >= self.settings.loss_limit {
+            let last_ms = suspicion.ends_ms(since_ms, self.settings.loss_limit);
+            let until_ms = last_ms + self.settings.memory_ms;
             return Verdict::Quarantined { endpoints: losses, until_ms };
         }
         if self.trying.contains(&fingerprint) {
@@ -186,6 +186,23 @@
         }
     }
 
+    /// Whether a request is quarantined, however it would be tried.
+    pub fn is_quarantined(&self, fingerprint: Fingerprint, now_ms: u64) -> bool {
+        let since_ms = now_ms.saturating_sub(self.settings.memory_ms);
+        let losses = self.suspicions.get(&fingerprint).map_or(0, |it| it.counted(since_ms).len());
+        losses >= self.settings.loss_limit
+    }
+
+    /// Whether anything is known against any request.
+    pub fn is_empty(&self) -> bool {
+        self.suspicions.is_empty()
+    }
+
+    /// What is known against a request.
+    pub fn suspicion_of(&self, fingerprint: Fingerprint) -> Option<&Suspicion> {
+        self.suspicions.get(&fingerprint)
+    }
+
     /// Whether anything is known against a request.
     pub fn suspects(&self, fingerprint: Fingerprint, now_ms: u64) -> bool {
         let since_ms = now_ms.saturating_sub(self.settings.memory_ms);
@@ -283,12 +300,12 @@
     }
 
     /// The loss at whose end of memory too few are left.
-    fn ends_ms(&self, since_ms: u64) -> u64 {
+    fn ends_ms(&self, since_ms: u64, loss_limit: usize) -> u64 {
         let since_ms = since_ms.max(self.cleared_ms);
         let mut counted: Vec<u64> =
             self.losses.values().copied().filter(|at_ms| *at_ms > since_ms).collect();
         counted.sort_unstable();
-        counted.iter().rev().nth(LOSS_LIMIT - 1).copied().unwrap_or(0)
+        counted.iter().rev().nth(loss_limit.saturating_sub(1)).copied().unwrap_or(0)
     }
 
     /// The trial that goes on: the earliest since the last loss, the instance's name deciding
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -11,7 +11,7 @@
 
 mod replay;
 
-use replay::{Arrival, Draws, Replay, alignments, facts, settings};
+use replay::{Arrival, Chooser, Draws, Outcome, Replay, alignments, facts, settings};
 
 const SERVICE: &str = "libretto";
 
@@ -27,6 +27,12 @@
     balancer
 }
 
+/// At least nine of ten requests are on time that would be if every choice saw all engines.
+fn assert_near_the_best(replay: &Replay, arrivals: &[Arrival], outcome: &Outcome) {
+    let best = replay.most_in_goal(arrivals);
+    assert!(outcome.in_goal * 10 >= best * 9, "of {best}: {outcome:?}");
+}
+
 /// Tokens of all shared parts that are asked for, each once.
 fn distinct_shared_tokens(arrivals: &[Arrival]) -> u64 {
     let mut seen = BTreeSet::new();
@@ -40,10 +46,10 @@
 fn a_burst_reads_shared_parts_about_once() {
     let arrivals = alignments(6, 110, 9_000, 0, 11);
     let replay =
-        Replay { instances: 6, engines: 12, goal_ms: 600, gate: false, least_running: false };
+        Replay { instances: 6, engines: 12, goal_ms: 600, gate: false, chooser: Chooser::Balancer };
     let distinct = distinct_shared_tokens(&arrivals);
     let outcome = replay.run(&arrivals);
-    let baseline = Replay { least_running: true, ..replay }.run(&arrivals);
+    let baseline = Replay { chooser: Chooser::LeastRunning, ..replay }.run(&arrivals);
     assert!(
         outcome.shared_tokens_read < 2 * distinct,
         "{} of {distinct}",
@@ -51,7 +57,7 @@
     );
     assert!(baseline.shared_tokens_read > 2 * outcome.shared_tokens_read, "{baseline:?}");
     assert!(outcome.in_goal > baseline.in_goal, "{outcome:?} {baseline:?}");
-    assert!(outcome.in_goal * 100 > outcome.served * 80, "{outcome:?}");
+    assert_near_the_best(&replay, &arrivals, &outcome);
 }
 
 /// A quarter of the alignments asks for one scene, more than one engine can read.
@@ -59,11 +65,11 @@
 fn a_hot_part_gets_as_many_homes_as_it_fills() {
     let arrivals = alignments(6, 110, 9_000, 28, 12);
     let replay =
-        Replay { instances: 6, engines: 12, goal_ms: 600, gate: false, least_running: false };
+        Replay { instances: 6, engines: 12, goal_ms: 600, gate: false, chooser: Chooser::Balancer };
     let outcome = replay.run(&arrivals);
     let most = outcome.by_engine.iter().max().expect("engines");
     assert!(most * 12 < outcome.served * 2, "{outcome:?}");
-    assert!(outcome.in_goal * 100 > outcome.served * 80, "{outcome:?}");
+    assert_near_the_best(&replay, &arrivals, &outcome);
 }
 
 /// Seventy instances that hear of each other half a second late: all went to the same idle
@@ -71,8 +77,13 @@
 #[test]
 fn many_instances_with_late_reports_do_not_herd() {
     let arrivals = alignments(71, 600, 6_000, 0, 13);
-    let replay =
-        Replay { instances: 71, engines: 60, goal_ms: 600, gate: false, least_running: false };
+    let replay = Replay {
+        instances: 71,
+        engines: 60,
+        goal_ms: 600,
+        gate: false,
+        chooser: Chooser::Balancer,
+    };
     let distinct = distinct_shared_tokens(&arrivals);
     let outcome = replay.run(&arrivals);
     assert!(
@@ -82,6 +93,7 @@
     );
     let most = outcome.by_engine.iter().max().expect("engines");
     assert!(most * 60 < outcome.served * 2, "twice an engine's part at most: {outcome:?}");
+    assert_near_the_best(&replay, &arrivals, &outcome);
 }
 
 /// Streams with tight pauses beside a burst of long prompts: few engines carry both.
@@ -104,7 +116,7 @@
     arrivals.extend(rewrites);
     arrivals.sort_by_key(|it| it.at_ms);
     let replay =
-        Replay { instances: 6, engines: 12, goal_ms: 600, gate: false, least_running: false };
+        Replay { instances: 6, engines: 12, goal_ms: 600, gate: false, chooser: Chooser::Balancer };
     let outcome = replay.run(&arrivals);
     let both = outcome.by_engine.iter().zip(&outcome.quiet_by_engine);
     let loud = both.map(|(all, quiet)| (*quiet * (all - quiet)) as f64 / (*all as f64).powi(2));
@@ -112,6 +124,35 @@
     assert!(mixed < 0.08, "one quarter at most would be half of each: {mixed} {outcome:?}");
 }
 
+/// A burst of streams with tight pauses is over, but long prompts go on being refused: on the
+/// users' sites 70 in 100 engines stayed kept for streams that were no longer there, since what
+/// is refused did not count as demand.
+#[test]
+fn refused_prompts_get_their_engines_back() {
+    let service = Name::from(SERVICE);
+    let mut balancer = Balancer::new(settings());
+    for it in 0..12 {
+        balancer.upsert(EndpointFacts { slots: 32, ..facts(it) });
+    }
+    let stream = Part { id: 1, tokens: 600 };
+    for _ in 0..40 {
+        let parts = [stream];
+        let ask = Ask { needs_quiet: true, ..ask(&service, &parts, &[]) };
+        let chosen = balancer.choose(&ask, 0).expect("an engine");
+        balancer.sent(&chosen, &parts, 0);
+    }
+    let mut quiet_share = 0.0;
+    for at in 0..480 {
+        let now_ms = at * 1_000 / 60;
+        let parts = [Part { id: 2, tokens: 10 }, Part { id: 100 + at, tokens: 2_890 }];
+        let chosen = balancer.choose(&ask(&service, &parts, &[]), now_ms).expect("an engine");
+        balancer.asked(&chosen, &service, now_ms);
+        quiet_share = chosen.belief.quiet_share;
+    }
+    // The streams fill two engines, the prompts three.
+    assert!((0.25..0.5).contains(&quiet_share), "{quiet_share}");
+}
+
 #[test]
 fn all_instances_find_the_same_home_without_talking() {
     let service = Name::from(SERVICE);
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -4,7 +4,7 @@
 
 mod replay;
 
-use replay::{Arrival, Replay, alignments};
+use replay::{Chooser, Replay, alignments};
 
 const GOAL_MS: f64 = 600.0;
 const NOW_MS: u64 = 1_000;
@@ -16,7 +16,7 @@
 fn part_refused(gate: &Gate, rank: u8, expected_ms: f64, returned: bool) -> f64 {
     let draws = (0..1_000).map(|it| f64::from(it) / 1_000.0);
     let entrants = draws.map(|it| entrant(rank, expected_ms, returned, it));
-    entrants.filter(|it| gate.decide(it, NOW_MS) != Entry::Enter).count() as f64 / 1_000.0
+    entrants.filter(|it| gate.decide(it, NOW_MS).entry != Entry::Enter).count() as f64 / 1_000.0
 }
 
 /// A gate whose requests of a rank took that long, where 300 ms were expected.
@@ -33,27 +33,25 @@
 fn a_burst_beyond_capacity_leaves_most_of_the_admitted_on_time() {
     let arrivals = alignments(6, 320, 9_000, 0, 21);
     let replay =
-        Replay { instances: 6, engines: 12, goal_ms: 600, gate: true, least_running: false };
+        Replay { instances: 6, engines: 12, goal_ms: 600, gate: true, chooser: Chooser::Balancer };
     let with_gate = replay.run(&arrivals);
     let without = Replay { gate: false, ..replay }.run(&arrivals);
     assert!(with_gate.in_goal > 5 * without.in_goal, "{with_gate:?} {without:?}");
-    assert!(with_gate.in_goal * 10 > with_gate.served * 7, "{with_gate:?}");
-    assert!(
-        with_gate.served * 100 > arrivals.len() * 43,
-        "of the 65 in 100 that engines could read if they kept all parts: {with_gate:?}"
-    );
+    assert!(with_gate.in_goal * 10 >= with_gate.served * 9, "nine of ten: {with_gate:?}");
+    // At least three of four that a gate would let in which saw all engines.
+    let best = replay.most_in_goal(&arrivals);
+    assert!(with_gate.in_goal * 4 >= best * 3, "of {best}: {with_gate:?}");
 }
 
-/// A load that the engines can carry, after a gentle start in which they read what is shared.
+/// A load that the engines can carry, from the start, when they have to read what is shared: at
+/// most one in two hundred is refused.
 #[test]
-fn at_most_one_in_a_hundred_is_refused_below_capacity() {
-    let mut arrivals = alignments(6, 25, 6_000, 0, 22);
-    let usual = alignments(6, 60, 9_000, 0, 23).into_iter();
-    arrivals.extend(usual.map(|it| Arrival { at_ms: it.at_ms + 6_000, ..it }));
+fn hardly_anyone_is_refused_below_capacity() {
+    let arrivals = alignments(6, 60, 9_000, 0, 22);
     let replay =
-        Replay { instances: 6, engines: 12, goal_ms: 600, gate: true, least_running: false };
+        Replay { instances: 6, engines: 12, goal_ms: 600, gate: true, chooser: Chooser::Balancer };
     let outcome = replay.run(&arrivals);
-    assert!(outcome.refused * 100 < arrivals.len(), "{outcome:?}");
+    assert!(outcome.refused * 200 < arrivals.len(), "{outcome:?}");
 }
 
 #[test]
@@ -89,9 +87,9 @@
 #[test]
 fn a_gate_forgets() {
     let gate = took(0, 2_000.0);
-    let later = entrant(0, 340.0, false, 0.01);
-    assert_ne!(gate.decide(&later, NOW_MS), Entry::Enter);
-    assert_eq!(gate.decide(&later, NOW_MS + 6_000), Entry::Enter);
+    let later = entrant(0, 400.0, false, 0.01);
+    assert_ne!(gate.decide(&later, NOW_MS).entry, Entry::Enter);
+    assert_eq!(gate.decide(&later, NOW_MS + 6_000).entry, Entry::Enter);
 }
 
 #[test]
@@ -100,7 +98,7 @@
     let mut after: Vec<f64> = Vec::new();
     for draw in 0..1_000 {
         let it = entrant(0, 900.0, false, f64::from(draw) / 1_000.0);
-        if let Entry::ComeAgain(after_ms) = gate.decide(&it, NOW_MS) {
+        if let Entry::ComeAgain(after_ms) = gate.decide(&it, NOW_MS).entry {
             after.push(after_ms);
         }
     }
--- a/crates/core/tests/replay/mod.rs
+++ b/crates/core/tests/replay/mod.rs
@@ -1,6 +1,8 @@
 //! Replays a load against the core's decisions, in virtual time: a few instances, and engines
 //! that read one prompt after the other.
 
+mod draws;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashSet},
@@ -15,12 +17,14 @@
     parts::{Part, Parts},
 };
 
+pub(crate) use draws::Draws;
+
 /// Prompt tokens that an engine reads in a millisecond.
 pub(crate) const READ_TOKENS_PER_MS: f64 = 50.0;
 /// Time to the first byte of an idle engine that has nothing to read, in milliseconds.
 pub(crate) const BASE_MS: u64 = 75;
 /// How often instances tell each other what they have in progress, in milliseconds.
-const TELL_EVERY_MS: u64 = 500;
+const TELL_EVERY_MS: u64 = 100;
 
 /// One request of a replay.
 #[derive(Clone, Debug)]
@@ -40,10 +44,25 @@
     pub(crate) goal_ms: u64,
     /// Requests pass a gate.
     pub(crate) gate: bool,
-    /// Endpoints are chosen by the fewest requests of one's own, whatever they keep.
-    pub(crate) least_running: bool,
+    pub(crate) chooser: Chooser,
+}
+
+/// Who chooses the engines.
+#[allow(dead_code, reason = "each test file uses a part")]
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Chooser {
+    /// The core.
+    Balancer,
+    /// The fewest requests of one's own, whatever engines keep.
+    LeastRunning,
+    /// One that sees what every engine keeps and when it will be idle. The earliest first byte
+    /// decides, and reading counts so many times over.
+    Seeing(f64),
 }
 
+/// Weights of reading of the choosers that see all; the best of them is what to compare with.
+const SEEING_WEIGHTS: [f64; 6] = [0.0, 0.5, 1.0, 2.0, 4.0, 8.0];
+
 /// How a replay went.
 #[derive(Debug, Default)]
 pub(crate) struct Outcome {
@@ -73,7 +92,7 @@
 
 pub(crate) fn settings() -> BalanceSettings {
     BalanceSettings {
-        read_tokens_per_ms: 70.0,
+        read_tokens_per_ms: 50.0,
         plain_work_ms: 30.0,
         zone_cost_ms: 3.0,
         region_cost_ms: 55.0,
@@ -129,12 +148,16 @@
                 may_probe: false,
                 draw: arrival.draw,
             };
-            let mut chosen = balancer.choose(&ask, now_ms).expect("an engine");
-            if self.least_running {
-                chosen = self.fewest(&sent, &first_bytes, arrival.instance, chosen);
-            }
+            let chosen = balancer.choose(&ask, now_ms).expect("an engine");
+            let chosen = match self.chooser {
+                Chooser::Balancer => chosen,
+                Chooser::LeastRunning => self.fewest(&sent, &first_bytes, arrival.instance, chosen),
+                Chooser::Seeing(weight) => seeing(&engines, arrival, weight, chosen),
+            };
+            balancer.asked(&chosen, &service, now_ms);
             let entrant = self.entrant(arrival, &chosen);
-            if self.gate && gate.decide(&entrant, now_ms) != Entry::Enter {
+            let enters = self.enters(gate, &entrant, now_ms);
+            if self.gate && !enters {
                 outcome.refused += 1;
                 continue;
             }
@@ -152,6 +175,24 @@
         outcome
     }
 
+    /// Most requests in goal that a chooser which sees all engines reaches with this load. With
+    /// a gate it lets in only what will be on time.
+    pub(crate) fn most_in_goal(&self, arrivals: &[Arrival]) -> usize {
+        let outcomes = SEEING_WEIGHTS.map(|weight| {
+            Replay { chooser: Chooser::Seeing(weight), ..*self }.run(arrivals).in_goal
+        });
+        outcomes.into_iter().max().unwrap_or(0)
+    }
+
+    fn enters(&self, gate: &Gate, entrant: &Entrant, now_ms: u64) -> bool {
+        match self.chooser {
+            Chooser::Seeing(_) => entrant.expected_ms <= entrant.goal_ms,
+            Chooser::Balancer | Chooser::LeastRunning => {
+                gate.decide(entrant, now_ms).entry == Entry::Enter
+            }
+        }
+    }
+
     fn balancer(&self) -> Balancer {
         let mut balancer = Balancer::new(settings());
         for index in 0..self.engines {
@@ -197,11 +238,34 @@
     }
 }
 
+/// The engine with the least of the wait for the first byte and the weighted reading.
+fn seeing(engines: &[Engine], arrival: &Arrival, weight: f64, chosen: Chosen) -> Chosen {
+    let cost_ms = |it: &Engine| {
+        let (wait_ms, reading_ms) = it.expected_ms(&arrival.parts, arrival.at_ms);
+        (wait_ms + reading_ms, wait_ms + reading_ms + weight * reading_ms)
+    };
+    let costs = engines.iter().map(cost_ms).enumerate();
+    let (best, (took_ms, _)) =
+        costs.min_by(|(_, a), (_, b)| a.1.total_cmp(&b.1)).expect("an engine");
+    Chosen { id: facts(best).id, expected_ms: took_ms, ..chosen }
+}
+
 impl Engine {
+    /// Time until it begins to read a prompt, and how long it reads it, in milliseconds.
+    fn expected_ms(&self, parts: &[Part], now_ms: u64) -> (f64, f64) {
+        let tokens = self.unread_tokens(parts);
+        let wait_ms = (self.busy_until_ms - now_ms as f64).max(0.0);
+        (wait_ms, tokens as f64 / READ_TOKENS_PER_MS)
+    }
+
+    fn unread_tokens(&self, parts: &[Part]) -> u64 {
+        let unread = parts.iter().skip_while(|it| self.kept.contains(&it.id));
+        unread.map(|it| u64::from(it.tokens)).sum()
+    }
+
     /// Reads a prompt and gives the time of its first byte.
     fn read(&mut self, parts: &[Part], now_ms: u64, shared_tokens_read: &mut u64) -> u64 {
-        let unread = parts.iter().skip_while(|it| self.kept.contains(&it.id));
-        let tokens: u64 = unread.map(|it| u64::from(it.tokens)).sum();
+        let tokens = self.unread_tokens(parts);
         let own = parts.last().map_or(0, |it| u64::from(it.tokens));
         *shared_tokens_read += tokens.saturating_sub(own);
         self.kept.extend(parts.iter().map(|it| it.id));
@@ -212,6 +276,8 @@
 }
 
 fn tell(balancers: &mut [Balancer], now_ms: u64) {
+    let placements: Vec<_> = balancers.iter_mut().flat_map(Balancer::take_placements).collect();
+    balancers.iter_mut().for_each(|it| it.hear_placements(&placements, now_ms));
     let own: Vec<_> = balancers.iter().map(Balancer::own_loads).collect();
     for (at, balancer) in balancers.iter_mut().enumerate() {
         let others = own.iter().enumerate().filter(|(it, _)| *it != at);
@@ -224,23 +290,6 @@
     id.rsplit('-').next().and_then(|it| it.parse().ok()).expect("an engine's number")
 }
 
-/// Numbers that look drawn, the same in every run.
-pub(crate) struct Draws(pub(crate) u64);
-
-impl Draws {
-    pub(crate) fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut it = self.0;
-        it = (it ^ (it >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        it = (it ^ (it >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        it ^ (it >> 31)
-    }
-
-    pub(crate) fn below(&mut self, limit: u64) -> u64 {
-        self.next() % limit
-    }
-}
-
 /// Alignments: four books, 224 scenes that share them, and a passage of its own for each. A part
 /// `hot_percent` of them asks for the same scene.
 pub(crate) fn alignments(
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -19,12 +19,13 @@
 use crate::{
     attempts::choose,
     clock,
-    course::{Course, SHORT_RETRY_MS},
+    course::{Course, GateRecord, SHORT_RETRY_MS},
     gateway::Gateway,
     meters,
     reply::{Refusal, ReplyBody},
     request::{self, Request, spread},
     send::ENGINE_BASE_MS,
+    suspects,
 };
 
 /// A request that was turned away before it had a route.
@@ -114,26 +115,33 @@
     request: &Request,
     course: &mut Course,
 ) -> Result<(), Refusal> {
+    if suspects::is_quarantined(gateway, request) {
+        return Err(Refusal::not_run(Reason::Quarantined));
+    }
     let chosen = choose(gateway, request, course)?;
     if request.parts.is_empty() {
         course.ahead = Some(chosen);
         return Ok(());
     }
+    let now_ms = clock::now_ms();
     let left_ms = request.left().as_secs_f64() * 1000.0;
-    let mut gates = gateway.gates();
+    let returned = gateway.gates().returned(&request.route, left_ms);
+    if !returned {
+        gateway.balancer().asked(&chosen, &request.service, now_ms);
+    }
     let entrant = Entrant {
         rank: request.rank,
         goal_ms: request.route.goal_ms as f64,
         expected_ms: chosen.expected_ms + ENGINE_BASE_MS,
         left_ms,
-        returned: gates.returned(&request.route, left_ms),
+        returned,
         draw: (spread(&request.id) >> 11) as f64 / (1u64 << 53) as f64,
     };
-    let entry = gates.decide(&request.service, &entrant, clock::now_ms());
-    drop(gates);
+    let decision = gateway.gates().decide(&request.service, &entrant, now_ms);
     course.last = Some(chosen.clone());
     course.ahead = Some(chosen);
-    match entry {
+    course.gate = Some(GateRecord { decision, returned });
+    match decision.entry {
         Entry::Enter => Ok(()),
         Entry::ComeAgain(after_ms) => {
             Err(Refusal::not_run(Reason::Infeasible).retry_after_ms(after_ms as u64))
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -80,7 +80,7 @@
     lease: &Lease,
     failure: Failure,
 ) {
-    send::note(gateway, &lease.chosen, failure);
+    send::note(gateway, request, &lease.chosen, failure);
     course.failed(request, &lease.chosen.id, failure);
 }
 
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,6 +1,9 @@
-//! The monotonic clock of the process.
+//! The monotonic clock of the process, and the time of day.
 
-use std::{sync::OnceLock, time::Duration};
+use std::{
+    sync::OnceLock,
+    time::{Duration, SystemTime},
+};
 
 use tokio::time::Instant;
 
@@ -20,3 +23,8 @@
 pub(crate) fn as_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Unix time in milliseconds, for what instances tell each other; it may jump.
+pub(crate) fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, as_ms)
+}
--- a/crates/gateway/src/course.rs
+++ b/crates/gateway/src/course.rs
@@ -4,6 +4,7 @@
 use tanagergauge_core::{
     Name, Outcome, Reason,
     balance::Chosen,
+    gate::Decision,
     resend::{Failure, Sendings},
 };
 
@@ -12,6 +13,13 @@
 /// When a caller may come again after a refusal that will pass soon, in milliseconds.
 pub(crate) const SHORT_RETRY_MS: u64 = 400;
 
+/// How the gate decided, and on what.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GateRecord {
+    pub(crate) decision: Decision,
+    pub(crate) returned: bool,
+}
+
 /// What a request has behind it.
 #[derive(Debug, Default)]
 pub(crate) struct Course {
@@ -21,6 +29,8 @@
     pub(crate) ahead: Option<Chosen>,
     /// The endpoint that was chosen last, and what was expected of it.
     pub(crate) last: Option<Chosen>,
+    /// How the gate decided; `None` if the request did not come to one.
+    pub(crate) gate: Option<GateRecord>,
     /// Age of the list of endpoints at the last choice, in milliseconds.
     pub(crate) list_age_ms: u64,
     /// How the last sending failed.
@@ -56,6 +66,7 @@
         resumed: u32,
     ) {
         let took = request.arrived.elapsed();
+        let belief = self.last.as_ref().map(|it| it.belief);
         meters::outcome(&request.route.name, outcome, took);
         if let Some(reason) = reason {
             meters::refusal(reason);
@@ -68,7 +79,18 @@
             reason = reason.map(<&str>::from),
             endpoint = self.last.as_ref().map(|it| &*it.id),
             expected_ms = self.last.as_ref().map(|it| it.expected_ms as u64),
+            unread_tokens = self.last.as_ref().map(|it| it.unread_tokens),
+            running = belief.map(|it| it.running as u64),
+            ahead_tokens = belief.map(|it| it.ahead_tokens as u64),
+            delay_ms = belief.map(|it| it.delay_ms as u64),
+            others_age_ms = belief.and_then(|it| it.others_age_ms),
+            quiet_percent = belief.map(|it| (it.quiet_share * 100.0) as u64),
+            is_quiet = belief.map(|it| it.is_quiet),
+            returned = self.gate.map(|it| it.returned),
+            late_percent = self.gate.map(|it| (it.decision.ratio * 100.0) as u64),
+            refused_percent = self.gate.map(|it| (it.decision.refused_part * 100.0) as u64),
             first_byte_ms = self.first_byte_ms,
+            allowed_ms = clock::as_ms(request.until.duration_since(request.arrived)),
             took_ms = clock::as_ms(took),
             may_have_run = self.sendings.may_have_run,
             arrived = self.sendings.arrived,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,6 +23,7 @@
     reply::{Refusal, ReplyBody},
     request::Request,
     send::{self, Answer, Lease},
+    suspects,
 };
 
 /// Counts a request as in progress while it lives.
@@ -80,6 +81,7 @@
     guard.armed = false;
     match result {
         Ok(Reply::Whole(response)) => {
+            suspects::ran(gateway, &request);
             course.report(&request, Outcome::Answered, None, 0);
             response
         }
--- a/crates/gateway/src/gates.rs
+++ b/crates/gateway/src/gates.rs
@@ -4,19 +4,16 @@
 
 use tanagergauge_core::{
     Name,
-    gate::{Entrant, Entry, Gate},
+    gate::{Decision, Entrant, Gate},
+    returns::Returns,
     routing::Route,
 };
 
-/// Part of the longest time that callers of a route have; one with less has been here before.
-const RETURNED_BELOW: f64 = 0.95;
-
 /// A gate for each service that runs models.
 #[derive(Debug, Default)]
 pub(crate) struct Gates {
     by_service: HashMap<Name, Gate>,
-    /// Longest time that a caller of each route had, in milliseconds.
-    longest_left_ms: HashMap<Name, f64>,
+    returns_by_route: HashMap<Name, Returns>,
 }
 
 impl Gates {
@@ -27,20 +24,12 @@
 
     /// Whether a caller with that much time left was refused before.
     pub(crate) fn returned(&mut self, route: &Route, left_ms: f64) -> bool {
-        match self.longest_left_ms.get_mut(&route.name) {
-            Some(longest_ms) => {
-                *longest_ms = longest_ms.max(left_ms);
-                left_ms < RETURNED_BELOW * *longest_ms
-            }
-            None => {
-                self.longest_left_ms.insert(route.name.clone(), left_ms);
-                false
-            }
-        }
+        let returns = self.returns_by_route.entry(route.name.clone()).or_default();
+        returns.returned(left_ms, route.timeout_ms)
     }
 
     /// Whether a request is let in.
-    pub(crate) fn decide(&mut self, service: &Name, entrant: &Entrant, now_ms: u64) -> Entry {
+    pub(crate) fn decide(&mut self, service: &Name, entrant: &Entrant, now_ms: u64) -> Decision {
         self.of(service).decide(entrant, now_ms)
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,12 +5,12 @@
     atomic::{AtomicU64, AtomicUsize, Ordering},
 };
 
-use tanagergauge_core::{Name, balance::Balancer, routing::Configuration};
+use tanagergauge_core::{Name, balance::Balancer, routing::Configuration, suspects::Suspects};
 use tokio::sync::{Notify, watch};
 
 use crate::{
     budgets::Budgets, clock, gates::Gates, names::HeaderNames, peers::Peers, pool::Pool,
-    settings::Settings, stop::Phase,
+    settings::Settings, stop::Phase, suspects,
 };
 use std::sync::Arc;
 
@@ -33,6 +33,7 @@
     balancer: Mutex<Balancer>,
     budgets: Mutex<Budgets>,
     gates: Mutex<Gates>,
+    suspects: Mutex<Suspects>,
     /// Told when configuration or endpoints were read.
     informed: Notify,
     /// When the list of endpoints was last confirmed; 0 before it was read.
@@ -43,6 +44,7 @@
     /// Knows nothing yet.
     pub(crate) fn new(settings: Settings, names: HeaderNames) -> Gateway {
         let balancer = Balancer::new(settings.balance());
+        let suspects = Suspects::new(settings.instance.clone(), suspects::settings());
         let budgets = Budgets::new(settings.budget(), ASSUMED_INSTANCES, clock::now_ms());
         Gateway {
             names,
@@ -55,6 +57,7 @@
             balancer: Mutex::new(balancer),
             budgets: Mutex::new(budgets),
             gates: Mutex::default(),
+            suspects: Mutex::new(suspects),
             informed: Notify::new(),
             endpoints_confirmed_ms: AtomicU64::new(0),
             settings,
@@ -93,6 +96,11 @@
         lock(&self.gates)
     }
 
+    /// Which requests crash endpoints.
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        lock(&self.suspects)
+    }
+
     /// The list of endpoints was read up to its end that long ago.
     pub(crate) fn confirm_endpoints(&self, age_ms: u64) {
         let at_ms = clock::now_ms().saturating_sub(age_ms).max(1);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod socket;
 mod stop;
 mod store;
+mod suspects;
 mod view;
 
 pub use names::HeaderNames;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,7 +3,13 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use tanagergauge_core::{Name, loads::EndpointLoad};
+use tanagergauge_core::{
+    Name,
+    loads::EndpointLoad,
+    newest::Record,
+    placements::{Placement, PlacementNews},
+    suspects::{Suspect, SuspectNews},
+};
 
 /// Who sends a report, and for whom.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +32,14 @@
     pub(crate) instances: u32,
     /// Where the sender's knowledge ends.
     pub(crate) known: Position,
+    /// Requests that crash endpoints, as far as the receiver has not heard of them.
+    pub(crate) suspects: Vec<Suspect>,
+    /// Up to where the sender heard the receiver's news of such requests.
+    pub(crate) suspects_heard: u64,
+    /// Endpoints that began to keep parts, as far as the receiver has not heard of them.
+    pub(crate) placements: Vec<Placement>,
+    /// Up to where the sender heard the receiver's placements.
+    pub(crate) placements_heard: u64,
 }
 
 /// Where an instance's knowledge of the store's topics ends.
@@ -35,15 +49,6 @@
     pub(crate) endpoints_end: u64,
 }
 
-/// A record of the store that is handed on.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct HandedOn {
-    pub(crate) key: Name,
-    /// Nothing if the key was dropped.
-    pub(crate) value: Option<Vec<u8>>,
-    pub(crate) offset: u64,
-}
-
 /// What the receiver knows that the sender does not.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct SyncReply {
@@ -53,10 +58,14 @@
     /// Where the receiver's knowledge ends.
     pub(crate) known: Position,
     /// Records that the sender lacks.
-    pub(crate) configuration: Vec<HandedOn>,
-    pub(crate) endpoints: Vec<HandedOn>,
+    pub(crate) configuration: Vec<Record>,
+    pub(crate) endpoints: Vec<Record>,
     /// `endpoints` are all there are: others that the sender knows are gone.
     pub(crate) endpoints_are_all: bool,
     /// Age of what the receiver read from the store, in milliseconds.
     pub(crate) age_ms: u64,
+    /// Requests that crash endpoints, as far as the sender has not heard of them.
+    pub(crate) suspects: SuspectNews,
+    /// Endpoints that began to keep parts, as far as the sender has not heard of them.
+    pub(crate) placements: PlacementNews,
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,7 +6,7 @@
 mod state;
 mod sync;
 
-pub(crate) use message::{HandedOn, Position};
+pub(crate) use message::Position;
 pub(crate) use serve::answer;
 pub(crate) use state::Peers;
 pub(crate) use sync::run;
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -1,10 +1,15 @@
 //! What an instance keeps of its peers.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::{
+    collections::HashMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
 
 use tanagergauge_core::{
     Name,
     loads::{self, EndpointLoad, Reports},
+    news::Heard,
+    placements::Placements,
     roster::Roster,
 };
 
@@ -23,6 +28,18 @@
     reports: Mutex<Tables>,
     roster: Mutex<Roster>,
     hub: Mutex<HubLink>,
+    /// By peer that this instance reports to.
+    heard: Mutex<HashMap<Name, HeardNews>>,
+    placements: Mutex<Placements>,
+}
+
+/// How far this instance and one that it reports to have heard each other.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct HeardNews {
+    /// Requests that crash endpoints.
+    pub(crate) suspects: Heard,
+    /// Endpoints that began to keep parts.
+    pub(crate) placements: Heard,
 }
 
 /// Reports of work in progress.
@@ -95,6 +112,25 @@
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Endpoints that began to keep parts, to be told.
+    pub(crate) fn placements(&self) -> MutexGuard<'_, Placements> {
+        self.placements.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What was heard between this instance and a peer.
+    pub(crate) fn heard(&self, peer: &str) -> HeardNews {
+        self.lock_heard().get(peer).copied().unwrap_or_default()
+    }
+
+    /// A peer answered: both have heard more.
+    pub(crate) fn set_heard(&self, peer: &Name, heard: HeardNews) {
+        self.lock_heard().insert(peer.clone(), heard);
+    }
+
+    fn lock_heard(&self) -> MutexGuard<'_, HashMap<Name, HeardNews>> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The hub answered.
     pub(crate) fn hub_answered(&self, age_ms: u64) {
         *self.lock_hub() = HubLink { answered_ms: clock::now_ms().max(1), age_ms };
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::{Method, header::HOST};
 use serde::{Deserialize, Serialize};
-use tanagergauge_core::{Name, loads::EndpointLoad, roster::Peer};
+use tanagergauge_core::{Name, loads::EndpointLoad, placements::Origin, roster::Peer};
 use tokio::{
     task::JoinSet,
     time::{Instant, MissedTickBehavior, interval, sleep, timeout_at},
@@ -14,20 +14,21 @@
 
 use super::{
     PATH,
-    message::{HandedOn, Sender, Sync, SyncReply},
+    message::{Sender, Sync, SyncReply},
+    state::HeardNews,
 };
 use crate::{
     clock,
     follow::Following,
     gateway::Gateway,
     send::read_whole,
-    store::{Record, Snapshot, Store, Topic},
+    store::{Snapshot, Store, Topic},
 };
 
 /// How often an instance reports to its hub.
-const REPORT_EVERY: Duration = Duration::from_millis(250);
+const REPORT_EVERY: Duration = Duration::from_millis(100);
 /// Reports after which a hub reports to those of other zones.
-const TICKS_BETWEEN_ZONES: u32 = 2;
+const TICKS_BETWEEN_ZONES: u32 = 1;
 /// Longest wait for the hub of this zone.
 const ZONE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest wait for the hub of another zone.
@@ -39,6 +40,13 @@
 /// Instances that are not known yet but may spend from the fleet's budget.
 const UNKNOWN_INSTANCES: usize = 1;
 
+/// A report, and up to where its receiver then knows this instance's news.
+struct Report {
+    sync: Sync,
+    suspects_told: u64,
+    placements_told: u64,
+}
+
 /// What an instance writes of itself into the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct Registration {
@@ -91,10 +99,9 @@
         availability_zone: settings.availability_zone.clone(),
         control: settings.control_listen,
     };
-    let value = serde_json::to_vec(&registration).unwrap_or_default();
-    while let Err(error) = store.put(Topic::Instances, &settings.instance, &value).await {
-        tracing::info!(%error, "this instance is not yet in the store's list");
-        sleep(ROSTER_PAUSE).await;
+    match serde_json::to_vec(&registration) {
+        Ok(value) => register(&gateway, &*store, &value).await,
+        Err(error) => tracing::error!(%error, "entry of this instance cannot be written"),
     }
     loop {
         match store.snapshot(Topic::Instances).await {
@@ -110,6 +117,13 @@
     }
 }
 
+async fn register<S: Store>(gateway: &Gateway, store: &S, value: &[u8]) {
+    while let Err(error) = store.put(Topic::Instances, &gateway.settings.instance, value).await {
+        tracing::info!(%error, "this instance is not yet in the store's list");
+        sleep(ROSTER_PAUSE).await;
+    }
+}
+
 fn take_roster(gateway: &Gateway, snapshot: Snapshot) {
     let mut records = snapshot.records;
     // Of two instances at one address the later one lives.
@@ -138,9 +152,10 @@
 async fn report_to_hub(following: &Following, hub: &Peer) {
     let gateway = following.gateway();
     let (loads, instances) = (gateway.balancer().own_loads(), 1);
-    let sync = message(following, Sender::Member, loads, instances);
-    match call(gateway, &hub.name, hub.control, &sync, ZONE_TIMEOUT).await {
-        Some(reply) => {
+    let report = message(following, &hub.name, Sender::Member, loads, instances);
+    match call(gateway, &hub.name, hub.control, &report.sync, ZONE_TIMEOUT).await {
+        Some(mut reply) => {
+            hear(gateway, &hub.name, &report, &mut reply);
             gateway.peers.roster().answered(&hub.name);
             gateway.peers.hub_answered(reply.age_ms);
             gateway.balancer().set_other_loads(&reply.loads, clock::now_ms());
@@ -158,7 +173,10 @@
 fn take_own_sum(gateway: &Gateway) {
     let now_ms = clock::now_ms();
     let (loads, _) = gateway.peers.reports().others_of_hub(now_ms);
-    gateway.balancer().set_other_loads(&loads, now_ms);
+    let mut balancer = gateway.balancer();
+    balancer.set_other_loads(&loads, now_ms);
+    // Members tell a hub what they place; one that is alone placed everything itself.
+    balancer.hear_placements(&[], now_ms);
 }
 
 /// Reports to the hubs of those zones whose hubs do not report here.
@@ -181,10 +199,11 @@
     let gateway = following.gateway();
     let own = gateway.balancer().own_loads();
     let (loads, instances) = gateway.peers.reports().whole_zone(own, clock::now_ms());
-    let sync = message(&following, Sender::Hub, loads, instances);
+    let report = message(&following, &hub.name, Sender::Hub, loads, instances);
     let now_ms = clock::now_ms;
-    match call(gateway, &hub.name, hub.control, &sync, AWAY_TIMEOUT).await {
+    match call(gateway, &hub.name, hub.control, &report.sync, AWAY_TIMEOUT).await {
         Some(mut reply) => {
+            hear(gateway, &hub.name, &report, &mut reply);
             gateway.peers.roster().answered(&hub.name);
             let loads = std::mem::take(&mut reply.loads);
             let mut tables = gateway.peers.reports();
@@ -206,9 +225,10 @@
         if seed == gateway.settings.control_listen {
             continue;
         }
-        let sync = message(following, Sender::Member, Vec::new(), 1);
         let name = Name::from(seed.to_string());
-        if let Some(reply) = call(gateway, &name, seed, &sync, ZONE_TIMEOUT).await {
+        let report = message(following, &name, Sender::Member, Vec::new(), 1);
+        if let Some(mut reply) = call(gateway, &name, seed, &report.sync, ZONE_TIMEOUT).await {
+            hear(gateway, &name, &report, &mut reply);
             take_knowledge(following, reply);
         }
         if gateway.is_informed() {
@@ -217,15 +237,56 @@
     }
 }
 
+/// A report for a peer.
 fn message(
     following: &Following,
+    peer: &str,
     sender: Sender,
     loads: Vec<EndpointLoad>,
     instances: u32,
-) -> Sync {
-    let Peer { name, zone, control } = own_peer(following.gateway());
+) -> Report {
+    let gateway = following.gateway();
+    let Peer { name, zone, control } = own_peer(gateway);
     let known = following.views().position();
-    Sync { sender, instance: name, zone, control, loads, instances, known }
+    let heard = gateway.peers.heard(peer);
+    let suspects = gateway.suspects().news_since(heard.suspects.by_peer);
+    let own = gateway.balancer().take_placements();
+    let placements = {
+        let mut placements = gateway.peers.placements();
+        placements.add(&own, Origin::OwnZone);
+        placements.for_zone(heard.placements.by_peer)
+    };
+    let sync = Sync {
+        sender,
+        instance: name,
+        zone,
+        control,
+        loads,
+        instances,
+        known,
+        suspects: suspects.suspects,
+        suspects_heard: heard.suspects.from_peer,
+        placements: placements.placements,
+        placements_heard: heard.placements.from_peer,
+    };
+    Report { sync, suspects_told: suspects.next, placements_told: placements.next }
+}
+
+/// Takes in a peer's news, and notes how far both have heard each other.
+fn hear(gateway: &Gateway, peer: &Name, report: &Report, reply: &mut SyncReply) {
+    let heard = gateway.peers.heard(peer);
+    let suspects = std::mem::take(&mut reply.suspects);
+    let placements = std::mem::take(&mut reply.placements);
+    let heard = HeardNews {
+        suspects: heard.suspects.after(report.suspects_told, suspects.next),
+        placements: heard.placements.after(report.placements_told, placements.next),
+    };
+    gateway.peers.set_heard(peer, heard);
+    gateway.suspects().hear(suspects.suspects);
+    gateway.balancer().hear_placements(&placements.placements, clock::now_ms());
+    if report.sync.sender == Sender::Hub {
+        gateway.peers.placements().add(&placements.placements, Origin::OtherZone);
+    }
 }
 
 /// Takes in what a peer read from the store.
@@ -234,13 +295,13 @@
     let mut views = following.views();
     let known = reply.known;
     if known.configuration_end > 0 {
-        let records = reply.configuration.into_iter().map(HandedOn::record).collect();
-        views.take_changes(gateway, decode, Topic::Configuration, records, known.configuration_end);
+        let (records, next) = (reply.configuration, known.configuration_end);
+        views.take_changes(gateway, decode, Topic::Configuration, records, next);
     }
     if known.endpoints_end == 0 {
         return;
     }
-    let records: Vec<Record> = reply.endpoints.into_iter().map(HandedOn::record).collect();
+    let records = reply.endpoints;
     if reply.endpoints_are_all {
         let snapshot = Snapshot { records, end: known.endpoints_end };
         views.take_snapshot(gateway, decode, Topic::Endpoints, snapshot);
@@ -251,13 +312,6 @@
     gateway.confirm_endpoints(reply.age_ms);
 }
 
-impl HandedOn {
-    fn record(self) -> Record {
-        let HandedOn { key, value, offset } = self;
-        Record { key, value: value.map(Bytes::from), offset }
-    }
-}
-
 /// Sends a report; `None` if there is no usable answer in time.
 async fn call(
     gateway: &Gateway,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,6 +21,7 @@
     gateway::Gateway,
     request::Request,
     send::{self, Lease},
+    suspects,
 };
 
 /// Silence of a stream after which another endpoint continues it, as a multiple of the longest
@@ -201,6 +202,7 @@
         if let State::Flowing(upstream) = state {
             upstream.lease.finish();
         }
+        suspects::ran(&self.gateway, &self.request);
         self.report(Outcome::Answered, None);
         let rest = self.splice.as_mut().map(Splice::take_rest).unwrap_or_default();
         (!rest.is_empty()).then_some(Ok(rest))
@@ -210,7 +212,7 @@
         let state = std::mem::replace(&mut self.state, State::Moving);
         if let State::Flowing(upstream) = state {
             let chosen = &upstream.lease.chosen;
-            send::note(&self.gateway, chosen, failure);
+            send::note(&self.gateway, &self.request, chosen, failure);
             self.course.failed(&self.request, &chosen.id, failure);
         }
         let over = Instant::now() >= self.request.until;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -12,6 +12,7 @@
 use tanagergauge_core::{
     Name,
     parts::{Part, Parts},
+    quarantine::Fingerprint,
     routing::{ClientAccount, Route},
 };
 use tokio::time::Instant;
@@ -59,6 +60,13 @@
 }
 
 impl Request {
+    /// Names it by its account and content, whatever its id.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let account = self.account.as_ref().map_or("", |it| &*it.name);
+        let target = format!("{} {}", self.route.name, self.uri);
+        Fingerprint::new(account, &target, &self.body)
+    }
+
     /// Time left.
     pub(crate) fn left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -12,7 +12,7 @@
 use tanagergauge_core::{Name, balance::Chosen, endpoint::LoadReport, resend::Failure};
 use tokio::time::{Instant, timeout_at};
 
-use crate::{answer, clock, connection::Connection, gateway::Gateway, request::Request};
+use crate::{answer, clock, connection::Connection, gateway::Gateway, request::Request, suspects};
 
 /// Largest answer that is read whole, in bytes.
 const WHOLE_LIMIT_BYTES: usize = 8 << 20;
@@ -146,14 +146,15 @@
     match result {
         Ok((head, body)) => Ok(Answer { head, body, lease }),
         Err(failure) => {
-            note(gateway, &lease.chosen, failure);
+            note(gateway, request, &lease.chosen, failure);
             Err(failure)
         }
     }
 }
 
-/// Notes what a failure shows of an endpoint.
-pub(crate) fn note(gateway: &Gateway, chosen: &Chosen, failure: Failure) {
+/// Notes what a failure shows of an endpoint and of the request.
+pub(crate) fn note(gateway: &Gateway, request: &Request, chosen: &Chosen, failure: Failure) {
+    suspects::failed(gateway, request, &chosen.id, failure);
     let now_ms = clock::now_ms();
     let mut balancer = gateway.balancer();
     if failure == Failure::Replaced {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -2,9 +2,10 @@
 
 use std::{fmt, future::Future, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
 use tanagergauge_core::{Name, routing::Configuration};
 
+pub use tanagergauge_core::newest::Record;
+
 /// A set of keyed records whose newest values last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -17,17 +18,6 @@
     Instances,
 }
 
-/// One keyed record.
-#[derive(Clone, Debug)]
-pub struct Record {
-    /// What it is about.
-    pub key: Name,
-    /// Nothing if the key was dropped.
-    pub value: Option<Bytes>,
-    /// Its place; rises with every record of the topic.
-    pub offset: u64,
-}
-
 /// The newest record of each key.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -6,56 +6,26 @@
 use tanagergauge_core::{
     Name,
     endpoint::{Distance, EndpointFacts},
+    newest::{Lacking, Newest, Record},
 };
 
 use crate::{
     clock,
     gateway::Gateway,
-    peers::{HandedOn, Position},
-    store::{Decode, EndpointEntry, Record, Snapshot, Topic},
+    peers::Position,
+    store::{Decode, EndpointEntry, Snapshot, Topic},
+    suspects,
 };
 
 /// How long an entry that went missing while the store was away is still believed in, in
 /// milliseconds.
 pub(crate) const LAPSED_BELIEF_MS: u64 = 2_000;
 
-/// The newest record of each key of a topic.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct View {
-    /// Everything before it was taken in; 0 before anything was.
-    pub(crate) end: u64,
-    /// From there on every record that dropped a key is known.
-    whole_since: u64,
-    pub(crate) records: HashMap<Name, Held>,
-}
-
-/// The newest record of a key.
-#[derive(Clone, Debug)]
-pub(crate) struct Held {
-    pub(crate) offset: u64,
-    /// Nothing if the key was dropped.
-    pub(crate) value: Option<Bytes>,
-    /// Offset at which it last said something new, other than that it lives.
-    pub(crate) changed: u64,
-}
-
-impl View {
-    fn since(&self, end: u64) -> Vec<HandedOn> {
-        let news = self.records.iter().filter(|(_, it)| it.changed >= end);
-        let hand_on = |(key, it): (&Name, &Held)| HandedOn {
-            key: key.clone(),
-            value: it.value.as_ref().map(|it| it.to_vec()),
-            offset: it.offset,
-        };
-        news.map(hand_on).collect()
-    }
-}
-
 /// Both topics that decide about requests.
 #[derive(Debug, Default)]
 pub(crate) struct Views {
-    pub(crate) configuration: View,
-    pub(crate) endpoints: View,
+    configuration: Newest,
+    endpoints: Newest,
     /// Endpoints whose entries went missing while the store was away, and until when they are
     /// still believed in.
     lapsed: HashMap<Name, u64>,
@@ -66,35 +36,31 @@
 impl Views {
     /// Where what is known ends.
     pub(crate) fn position(&self) -> Position {
-        Position { configuration_end: self.configuration.end, endpoints_end: self.endpoints.end }
+        Position {
+            configuration_end: self.configuration.end().unwrap_or(0),
+            endpoints_end: self.endpoints.end().unwrap_or(0),
+        }
     }
 
     /// Records of the configuration that say something new from an offset on.
-    pub(crate) fn configuration_since(&self, end: u64) -> Vec<HandedOn> {
+    pub(crate) fn configuration_since(&self, end: u64) -> Vec<Record> {
         self.configuration.since(end)
     }
 
-    /// What a peer lacks whose knowledge of the endpoints ends there, and whether that is all
-    /// there is.
-    pub(crate) fn endpoints_for(&self, end: u64) -> (Vec<HandedOn>, bool) {
-        if end >= self.endpoints.whole_since {
-            return (self.endpoints.since(end), false);
-        }
-        let mut all = self.endpoints.since(0);
-        all.retain(|it| it.value.is_some());
-        (all, true)
+    /// What a peer lacks whose knowledge of the endpoints ends there.
+    pub(crate) fn endpoints_lacking(&self, end: u64) -> Lacking {
+        self.endpoints.lacking(end)
     }
 
     /// Where reading of a topic goes on; `None` before anything was read.
     pub(crate) fn end(&self, topic: Topic) -> Option<u64> {
-        let end = match topic {
-            Topic::Configuration => self.configuration.end,
-            Topic::Endpoints | Topic::Instances => self.endpoints.end,
-        };
-        (end > 0).then_some(end)
+        match topic {
+            Topic::Configuration => self.configuration.end(),
+            Topic::Endpoints | Topic::Instances => self.endpoints.end(),
+        }
     }
 
-    fn of(&mut self, topic: Topic) -> &mut View {
+    fn of(&mut self, topic: Topic) -> &mut Newest {
         match topic {
             Topic::Configuration => &mut self.configuration,
             Topic::Endpoints | Topic::Instances => &mut self.endpoints,
@@ -114,25 +80,19 @@
         topic: Topic,
         snapshot: Snapshot,
     ) {
-        let view = self.of(topic);
-        let missing: Vec<Name> = if snapshot.end >= view.end {
-            let listed = |key: &Name| snapshot.records.iter().any(|it| it.key == *key);
-            view.records.keys().filter(|it| !listed(it)).cloned().collect()
+        let Snapshot { records, end } = snapshot;
+        let known = self.of(topic);
+        let missing = if end >= known.end().unwrap_or(0) {
+            let listed: Vec<Name> = records.iter().map(|it| it.key.clone()).collect();
+            known.missing_from(&listed)
         } else {
             Vec::new()
         };
-        let end = snapshot.end;
-        if view.end == 0 {
-            view.whole_since = end;
-        }
-        for record in snapshot.records {
+        let dropped = missing.into_iter().map(|key| Record { key, value: None, offset: end });
+        for record in records.into_iter().chain(dropped) {
             self.take(gateway, decode, topic, record);
         }
-        for key in missing {
-            self.take(gateway, decode, topic, Record { key, value: None, offset: end });
-        }
-        let view = self.of(topic);
-        view.end = view.end.max(end);
+        self.of(topic).read_to(end);
     }
 
     /// Takes in records that follow what is known.
@@ -147,37 +107,26 @@
         for record in records {
             self.take(gateway, decode, topic, record);
         }
-        let view = self.of(topic);
-        view.end = view.end.max(next);
+        self.of(topic).read_to(next);
     }
 
     /// Takes in one record unless a newer one of its key is known.
-    pub(crate) fn take(
-        &mut self,
-        gateway: &Arc<Gateway>,
-        decode: &Decode,
-        topic: Topic,
-        record: Record,
-    ) {
-        let Record { key, value, offset } = record;
-        let view = self.of(topic);
-        if view.records.get(&key).is_some_and(|it| it.offset >= offset) {
+    fn take(&mut self, gateway: &Arc<Gateway>, decode: &Decode, topic: Topic, record: Record) {
+        let Record { key, value, offset } = &record;
+        if !self.of(topic).is_newer(key, *offset) {
             return;
         }
-        let news = match topic {
+        let is_news = match topic {
             Topic::Configuration => {
-                if let Some(value) = &value {
-                    take_configuration(gateway, decode, &key, value);
+                if let Some(value) = value {
+                    take_configuration(gateway, decode, key, value);
                 }
                 true
             }
-            Topic::Endpoints => self.take_endpoint(gateway, decode, &key, value.as_ref()),
+            Topic::Endpoints => self.take_endpoint(gateway, decode, key, value.as_ref()),
             Topic::Instances => return,
         };
-        let records = &mut self.of(topic).records;
-        let known = records.get(&key).map(|it| it.changed);
-        let changed = if news { offset } else { known.unwrap_or(offset) };
-        records.insert(key, Held { offset, value, changed });
+        self.of(topic).put(record, is_news);
     }
 
     fn take_endpoint(
@@ -242,6 +191,7 @@
         tracing::info!(endpoint = %key, "endpoint gone");
     }
     gateway.pool.forget(key);
+    suspects::lost(gateway, key);
 }
 
 fn take_configuration(gateway: &Arc<Gateway>, decode: &Decode, key: &Name, value: &Bytes) {
