One loader for the settings of both daemons

The core now parses and reports; each daemon keeps its own settings and checks. No change of what it does: the tests of both daemons' settings pass unchanged.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -60,6 +60,7 @@
 mod running;
 mod scalar;
 pub mod scheduler;
+pub mod settings;
 pub mod share;
 pub mod sheet;
 pub mod splice;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of an instance, from one YAML file.
 
 use std::{
-    fmt, fs, io,
+    fs,
     net::SocketAddr,
     path::{Path as FilePath, PathBuf},
 };
@@ -10,8 +10,8 @@
 use tanagergauge_core::{
     Name,
     check::check_name,
-    document::Document,
     finding::{Findings, Path},
+    settings::{self, SettingsError},
 };
 
 use crate::{idempotency::IdempotencySettings, policy::PolicySettings};
@@ -97,38 +97,13 @@
     pub attempts: u32,
 }
 
-/// Why settings cannot be used.
-#[derive(Debug)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    Read(PathBuf, io::Error),
-    /// What is wrong in the file, with its places, for people.
-    Findings(String),
-}
-
-impl fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            SettingsError::Read(path, error) => {
-                write!(f, "cannot read {}: {error}", path.display())
-            }
-            SettingsError::Findings(report) => write!(f, "the settings cannot be used\n{report}"),
-        }
-    }
-}
-
 impl Settings {
     /// Reads and checks a settings file.
     ///
     /// # Errors
     /// The file cannot be read, or everything that is wrong with it.
     pub fn load(path: &FilePath) -> Result<Settings, SettingsError> {
-        let text = fs::read_to_string(path)
-            .map_err(|error| SettingsError::Read(path.to_owned(), error))?;
-        Settings::parse(&text).map_err(|findings| {
-            let file = path.display().to_string();
-            SettingsError::Findings(findings.report(&file, &text).to_string())
-        })
+        settings::read(path, fs::read_to_string(path), Settings::parse)
     }
 
     /// Reads and checks settings from YAML text.
@@ -136,10 +111,7 @@
     /// # Errors
     /// Everything that is wrong with them.
     pub fn parse(text: &str) -> Result<Settings, Findings> {
-        let document = Document::<Settings>::new(text);
-        let checked = document.value.as_ref().map(Settings::check).unwrap_or_default();
-        let (settings, findings) = document.finish(checked);
-        settings.ok_or(findings)
+        settings::parse(text, Settings::check)
     }
 
     fn check(&self) -> Findings {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,7 +35,7 @@
 
 pub use names::HeaderNames;
 pub use program::run;
-pub use settings::{Settings, SettingsError};
+pub use settings::Settings;
 pub use store::{
     Changes, Decode, DecodeConfiguration, DecodeError, EndpointEntry, Record, Snapshot, Store,
     StoreError, Topic,
