--- a/crates/gateway/src/course.rs
+++ b/crates/gateway/src/course.rs
@@ -87,7 +87,7 @@
             quiet_percent = belief.map(|it| (it.quiet_share * 100.0) as u64),
             is_quiet = belief.map(|it| it.is_quiet),
             returned = self.gate.map(|it| it.returned),
-            late_percent = self.gate.map(|it| (it.decision.ratio * 100.0) as u64),
+            took_percent = self.gate.map(|it| (it.decision.ratio * 100.0) as u64),
             refused_percent = self.gate.map(|it| (it.decision.refused_part * 100.0) as u64),
             first_byte_ms = self.first_byte_ms,
             allowed_ms = clock::as_ms(request.until.duration_since(request.arrived)),
