--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -104,6 +104,19 @@
     pub is_quiet: bool,
 }
 
+/// How many endpoints are in each state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Census {
+    /// They take requests.
+    pub good: u32,
+    /// They get single requests, after failures.
+    pub on_probation: u32,
+    /// They get nothing for a while, after failures.
+    pub paused: u32,
+    /// They said that they are leaving.
+    pub leaving: u32,
+}
+
 /// Why there is no endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoEndpoint {
@@ -170,8 +183,8 @@
         (f64::from(it.running), it.unread_tokens)
     }
 
-    /// Age of what other instances told; `None` if it is too old to use.
-    fn others_age_ms(&self, now_ms: u64) -> Option<u64> {
+    /// Age of what other instances told, in milliseconds; `None` if it is too old to use.
+    pub fn others_age_ms(&self, now_ms: u64) -> Option<u64> {
         let age_ms = self.others_ms.map(|at| now_ms.saturating_sub(at));
         age_ms.filter(|it| *it < OTHERS_AGE_MS)
     }
@@ -235,6 +248,21 @@
         self.endpoints.keys()
     }
 
+    /// How many endpoints there are in each state.
+    pub fn census(&self, now_ms: u64) -> Census {
+        let mut census = Census::default();
+        for it in self.endpoints.values() {
+            let count = match it.health.standing(now_ms) {
+                _ if it.facts.leaving => &mut census.leaving,
+                Standing::Good => &mut census.good,
+                Standing::Probation => &mut census.on_probation,
+                Standing::Paused => &mut census.paused,
+            };
+            *count += 1;
+        }
+        census
+    }
+
     /// Endpoints of a service that take work.
     pub fn serving(&self, service: &str) -> usize {
         let serves = |it: &&Endpoint| &*it.facts.service == service && !it.facts.leaving;
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -193,6 +193,11 @@
         losses >= self.settings.loss_limit
     }
 
+    /// Requests that something is known against.
+    pub fn len(&self) -> usize {
+        self.suspicions.len()
+    }
+
     /// Whether anything is known against any request.
     pub fn is_empty(&self) -> bool {
         self.suspicions.is_empty()
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Requests that something is known against.
+    pub fn len(&self) -> usize {
+        self.quarantine.len()
+    }
+
     /// Whether anything is known against any request.
     pub fn is_empty(&self) -> bool {
         self.quarantine.is_empty()
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -1,12 +1,15 @@
 //! Counters and histograms, in Prometheus text.
 
-use std::{sync::OnceLock, time::Duration};
+use std::{
+    sync::{OnceLock, atomic::Ordering},
+    time::Duration,
+};
 
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use tanagergauge_core::{Name, Outcome, Reason, resend::Failure};
 
-use crate::{gateway::Gateway, logs};
+use crate::{clock, gateway::Gateway, logs};
 
 static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
 
@@ -38,9 +41,36 @@
         .set(gateway.configuration().map_or(0.0, |it| it.version as f64));
     gauge!("tanagergauge_endpoints_age_seconds")
         .set(gateway.endpoints_age_ms().map_or(-1.0, |it| it as f64 / 1000.0));
+    beliefs(gateway);
     RECORDER.get().map(PrometheusHandle::render).unwrap_or_default()
 }
 
+/// Gauges of what this instance does and believes now.
+fn beliefs(gateway: &Gateway) {
+    let count = |it: usize| it as f64;
+    gauge!("tanagergauge_requests_in_progress")
+        .set(count(gateway.in_progress.load(Ordering::Relaxed)));
+    gauge!("tanagergauge_connections_open").set(count(gateway.connections.load(Ordering::Relaxed)));
+    gauge!("tanagergauge_instances_known").set(count(gateway.peers.roster().len()));
+    gauge!("tanagergauge_suspects").set(count(gateway.suspects().len()));
+    let now_ms = clock::now_ms();
+    let (census, others_age_ms) = {
+        let balancer = gateway.balancer();
+        (balancer.census(now_ms), balancer.others_age_ms(now_ms))
+    };
+    gauge!("tanagergauge_others_age_seconds")
+        .set(others_age_ms.map_or(-1.0, |it| it as f64 / 1000.0));
+    let states = [
+        ("good", census.good),
+        ("probation", census.on_probation),
+        ("paused", census.paused),
+        ("leaving", census.leaving),
+    ];
+    for (state, endpoints) in states {
+        gauge!("tanagergauge_endpoints", "state" => state).set(f64::from(endpoints));
+    }
+}
+
 /// A request ended.
 pub(crate) fn outcome(route: &Name, outcome: Outcome, took: Duration) {
     let outcome: &'static str = outcome.into();
--- a/crates/tool/tests/docs.rs
+++ b/crates/tool/tests/docs.rs
@@ -16,13 +16,16 @@
     assert!(missing.is_empty(), "{page} does not name {missing:?}");
 }
 
-/// The text between quotes that begins with `prefix`, wherever it stands in the daemon.
-fn literals(prefix: &str) -> BTreeSet<String> {
-    let sources = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../daemon/src"));
-    let entries = fs::read_dir(sources).expect("the sources can be read");
+/// The text between quotes that begins with `prefix`, wherever it stands in a package.
+fn literals(package: &str, prefix: &str) -> BTreeSet<String> {
+    let packages = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/.."));
+    let entries = fs::read_dir(packages.join(package).join("src"));
     let mut found = BTreeSet::new();
-    for entry in entries {
+    for entry in entries.expect("the sources can be read") {
         let path = entry.expect("the entry can be read").path();
+        if path.is_dir() {
+            continue;
+        }
         let text = fs::read_to_string(path).expect("the source can be read");
         found.extend(text.split('"').filter(|it| it.starts_with(prefix)).map(str::to_owned));
     }
@@ -48,12 +51,14 @@
 
 #[test]
 fn every_metric_is_explained() {
-    let metrics: BTreeSet<String> = literals("tanagergauge_")
-        .into_iter()
-        .filter(|it| it.chars().all(|c| c == '_' || c.is_ascii_lowercase()))
-        .collect();
-    assert!(metrics.len() > 5, "{metrics:?}");
-    assert_names("docs/OPERATIONS.md", metrics.into_iter());
+    for package in ["daemon", "gateway"] {
+        let metrics: BTreeSet<String> = literals(package, "tanagergauge_")
+            .into_iter()
+            .filter(|it| it.chars().all(|c| c == '_' || c.is_ascii_lowercase()))
+            .collect();
+        assert!(metrics.len() > 5, "{metrics:?}");
+        assert_names("docs/OPERATIONS.md", metrics.into_iter());
+    }
 }
 
 /// Fields of the settings' structs in a file of the daemon.
