--- a/crates/core/src/loads.rs
+++ b/crates/core/src/loads.rs
@@ -1,9 +1,11 @@
 //! What other instances have in progress at each endpoint.
 //!
 //! Load pattern: many instances, each of which sends a small part of a burst, choose by what
-//! they sent themselves; some endpoints get several times what others have to wait for.
+//! they sent themselves; some endpoints get several times what others have to wait for. With
+//! hundreds of instances and thousands of endpoints the reports themselves would fill the links
+//! of those that collect them, so that they name the busiest endpoints and come less often.
 
-use std::collections::HashMap;
+use std::{cmp::Reverse, collections::HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -11,6 +13,13 @@
 
 /// How long a report counts, in milliseconds.
 const REPORT_AGE_MS: u64 = 1_000;
+/// Endpoints that one report names at most.
+const REPORT_ENDPOINTS: usize = 256;
+/// Shortest and longest time between two reports, in milliseconds. What is told should be young
+/// beside the goals of requests.
+const REPORT_PAUSES_MS: (u64, u64) = (100, 500);
+/// What the link of one that collects reports may carry of them, in bytes a second.
+const REPORT_BYTES_PER_S: u64 = 200_000;
 
 /// Work in progress at one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,6 +55,24 @@
     sums.into_iter().map(|(endpoint, load)| EndpointLoad { endpoint, load }).collect()
 }
 
+/// The busiest endpoints of a report; the others are taken to be idle.
+pub fn busiest(mut loads: Vec<EndpointLoad>) -> Vec<EndpointLoad> {
+    if loads.len() > REPORT_ENDPOINTS {
+        let work = |it: &EndpointLoad| (it.load.unread_tokens, it.load.running);
+        loads.select_nth_unstable_by_key(REPORT_ENDPOINTS, |it| Reverse(work(it)));
+        loads.truncate(REPORT_ENDPOINTS);
+    }
+    loads
+}
+
+/// Time until the next report, in milliseconds, if the last one and its answer took `bytes` and
+/// `senders` report to the same instance.
+pub fn pause_ms(bytes: usize, senders: usize) -> u64 {
+    let bytes = bytes as u64 * senders as u64;
+    let (shortest_ms, longest_ms) = REPORT_PAUSES_MS;
+    (bytes * 1_000 / REPORT_BYTES_PER_S).clamp(shortest_ms, longest_ms)
+}
+
 /// The newest report of each sender.
 #[derive(Clone, Debug, Default)]
 pub struct Reports {
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -91,6 +91,11 @@
         zones
     }
 
+    /// Instances of a zone that are known.
+    pub fn members(&self, zone: &str) -> usize {
+        self.by_name.values().filter(|it| &*it.peer.zone == zone).count()
+    }
+
     /// Instances that are known, whether or not they answer.
     pub fn len(&self) -> usize {
         self.by_name.len()
--- a/crates/core/tests/peers.rs
+++ b/crates/core/tests/peers.rs
@@ -99,3 +99,30 @@
     assert_eq!(heat.share(1_001, 2_000), 0.0);
     assert!(heat.share(1, 30_000) < 0.01);
 }
+
+/// Three hundred instances before three thousand endpoints: on the bench a hub sent 1,170 kB/s,
+/// and its bytes between regions cost more than half of what the day earned.
+#[test]
+fn reports_of_a_large_fleet_stay_small() {
+    let loads: Vec<EndpointLoad> = (0..3_000).map(|it| load(it, it % 50)).collect();
+    let busiest = loads::busiest(loads);
+    assert_eq!(busiest.len(), 256);
+    assert!(busiest.iter().all(|it| it.load.running >= 45), "{busiest:?}");
+    let few: Vec<EndpointLoad> = (0..100).map(|it| load(it, 1)).collect();
+    assert_eq!(loads::busiest(few.clone()), few);
+}
+
+/// What a hub of so many members carries of reports, in bytes a second.
+fn hub_bytes_per_s(bytes: usize, members: usize) -> u64 {
+    (bytes * members) as u64 * 1_000 / loads::pause_ms(bytes, members)
+}
+
+#[test]
+fn reports_come_less_often_where_they_would_fill_a_link() {
+    assert_eq!(loads::pause_ms(1_500, 12), 100);
+    assert!(hub_bytes_per_s(3_000, 30) <= 200_000);
+    // Never so seldom that they are too old to use.
+    assert_eq!(loads::pause_ms(3_000, 300), 500);
+    // A tenth of a core's link, 10 Mbit/s, is not filled by a zone of fifty.
+    assert!(hub_bytes_per_s(4_000, 50) <= 1_250_000 / 2);
+}
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use tanagergauge_core::{
@@ -26,6 +29,8 @@
 pub(crate) struct Peers {
     reports: Mutex<Tables>,
     roster: Mutex<Roster>,
+    /// The list of instances was read from the store.
+    roster_read: AtomicBool,
     hub: Mutex<HubLink>,
     /// News of requests that crash endpoints, by peer that this instance reports to.
     heard: Mutex<HashMap<Name, Heard>>,
@@ -60,6 +65,7 @@
         self.expire(now_ms);
         let members = self.members.loads_without(Some(member), now_ms);
         let loads = loads::sum(members.chain(self.zones.loads_without(None, now_ms)).chain(own));
+        let loads = loads::busiest(loads);
         let members = self.members.instances_without(Some(member), now_ms);
         (loads, 1 + members + self.zones.instances_without(None, now_ms))
     }
@@ -72,6 +78,7 @@
     ) -> (Vec<EndpointLoad>, u32) {
         self.expire(now_ms);
         let loads = loads::sum(self.members.loads_without(None, now_ms).chain(own));
+        let loads = loads::busiest(loads);
         (loads, 1 + self.members.instances_without(None, now_ms))
     }
 
@@ -115,6 +122,16 @@
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The list of instances was read from the store.
+    pub(crate) fn set_roster_read(&self) {
+        self.roster_read.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the list of instances was read from the store.
+    pub(crate) fn is_roster_read(&self) -> bool {
+        self.roster_read.load(Ordering::Relaxed)
+    }
+
     /// The hub answered.
     pub(crate) fn hub_answered(&self, age_ms: u64) {
         *self.lock_hub() = HubLink { answered_ms: clock::now_ms().max(1), age_ms };
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -6,10 +6,14 @@
 use http_body_util::Full;
 use hyper::{Method, header::HOST};
 use serde::{Deserialize, Serialize};
-use tanagergauge_core::{Name, loads::EndpointLoad, roster::Peer};
+use tanagergauge_core::{
+    Name,
+    loads::{self, EndpointLoad},
+    roster::Peer,
+};
 use tokio::{
     task::JoinSet,
-    time::{Instant, MissedTickBehavior, interval, sleep, timeout_at},
+    time::{Instant, sleep, sleep_until, timeout_at},
 };
 
 use super::{
@@ -24,9 +28,8 @@
     store::{Snapshot, Store, Topic},
 };
 
-/// How often an instance reports to its hub, and a hub to those of other zones. What is told
-/// should be young beside the goals of requests.
-const REPORT_EVERY: Duration = Duration::from_millis(100);
+/// Time until the next report while configuration or endpoints are not known.
+const UNINFORMED_PAUSE: Duration = Duration::from_millis(20);
 /// Longest wait for the hub of this zone.
 const ZONE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest wait for the hub of another zone.
@@ -44,6 +47,13 @@
     suspects_told: u64,
 }
 
+/// A peer's answer to a report.
+struct Answer {
+    reply: SyncReply,
+    /// What report and answer took.
+    bytes: usize,
+}
+
 /// What an instance writes of itself into the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct Registration {
@@ -57,21 +67,36 @@
     let own = own_peer(&gateway);
     gateway.peers.roster().put(own.clone());
     tokio::spawn(keep_roster(Arc::clone(&gateway), store));
-    let mut ticks = interval(REPORT_EVERY);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
-        let hub = gateway.peers.roster().hub(&own.zone, &own.name, clock::now_ms()).cloned();
-        match hub {
-            Some(hub) if hub.name != own.name => report_to_hub(&following, &hub).await,
-            _ => {
-                gateway.peers.no_hub();
-                take_own_sum(&gateway);
-                report_to_zones(&following, &own).await;
-            }
-        }
+        let begin = Instant::now();
+        let mut pause = Duration::from_millis(report(&following, &own).await);
         if !gateway.is_informed() {
             ask_seeds(&following).await;
+            pause = UNINFORMED_PAUSE;
+        }
+        sleep_until(begin + pause).await;
+    }
+}
+
+/// Reports to the hub of this zone, or as the hub to those of others. Returns the time until the
+/// next report, in milliseconds.
+async fn report(following: &Arc<Following>, own: &Peer) -> u64 {
+    let gateway = following.gateway();
+    let (hub, members, zones) = {
+        let roster = gateway.peers.roster();
+        let hub = roster.hub(&own.zone, &own.name, clock::now_ms()).cloned();
+        (hub, roster.members(&own.zone), roster.zones().len())
+    };
+    match hub {
+        Some(hub) if hub.name != own.name => {
+            let bytes = report_to_hub(following, &hub).await;
+            loads::pause_ms(bytes, members)
+        }
+        _ => {
+            gateway.peers.no_hub();
+            take_own_sum(gateway);
+            let bytes = report_to_zones(following, own).await;
+            loads::pause_ms(bytes, zones)
         }
     }
 }
@@ -97,9 +122,11 @@
         Err(error) => tracing::error!(%error, "entry of this instance cannot be written"),
     }
     loop {
+        gateway.suspects().expire(clock::unix_ms());
         match store.snapshot(Topic::Instances).await {
             Ok(snapshot) => {
                 take_roster(&gateway, snapshot);
+                gateway.peers.set_roster_read();
                 sleep(ROSTER_EVERY).await;
             }
             Err(error) => {
@@ -142,22 +169,25 @@
     }
 }
 
-async fn report_to_hub(following: &Following, hub: &Peer) {
+/// Returns how many bytes the report and its answer took.
+async fn report_to_hub(following: &Following, hub: &Peer) -> usize {
     let gateway = following.gateway();
     let (loads, instances) = (gateway.balancer().own_loads(), 1);
     let report = message(following, &hub.name, Sender::Member, loads, instances);
     match call(gateway, &hub.name, hub.control, &report.sync, ZONE_TIMEOUT).await {
-        Some(mut reply) => {
+        Some(Answer { mut reply, bytes }) => {
             hear(gateway, &hub.name, &report, &mut reply);
             gateway.peers.roster().answered(&hub.name);
             gateway.peers.hub_answered(reply.age_ms);
             gateway.balancer().set_other_loads(&reply.loads, clock::now_ms());
             take_knowledge(following, reply);
+            bytes
         }
         None => {
             tracing::info!(hub = %hub.name, "hub does not answer");
             gateway.peers.no_hub();
             gateway.peers.roster().failed(&hub.name, clock::now_ms());
+            0
         }
     }
 }
@@ -169,8 +199,9 @@
     gateway.balancer().set_other_loads(&loads, now_ms);
 }
 
-/// Reports to the hubs of those zones whose hubs do not report here.
-async fn report_to_zones(following: &Arc<Following>, own: &Peer) {
+/// Reports to the hubs of those zones whose hubs do not report here. Returns how many bytes the
+/// longest report and its answer took.
+async fn report_to_zones(following: &Arc<Following>, own: &Peer) -> usize {
     let gateway = following.gateway();
     let now_ms = clock::now_ms();
     let hubs: Vec<Peer> = {
@@ -182,17 +213,21 @@
     for hub in hubs {
         calls.spawn(report_to_zone(Arc::clone(following), hub));
     }
-    while calls.join_next().await.is_some() {}
+    let mut longest = 0;
+    while let Some(bytes) = calls.join_next().await {
+        longest = longest.max(bytes.unwrap_or(0));
+    }
+    longest
 }
 
-async fn report_to_zone(following: Arc<Following>, hub: Peer) {
+async fn report_to_zone(following: Arc<Following>, hub: Peer) -> usize {
     let gateway = following.gateway();
     let own = gateway.balancer().own_loads();
     let (loads, instances) = gateway.peers.reports().whole_zone(own, clock::now_ms());
     let report = message(&following, &hub.name, Sender::Hub, loads, instances);
     let now_ms = clock::now_ms;
     match call(gateway, &hub.name, hub.control, &report.sync, AWAY_TIMEOUT).await {
-        Some(mut reply) => {
+        Some(Answer { mut reply, bytes }) => {
             hear(gateway, &hub.name, &report, &mut reply);
             gateway.peers.roster().answered(&hub.name);
             let loads = std::mem::take(&mut reply.loads);
@@ -200,10 +235,12 @@
             tables.zones.put(&hub.zone, loads, reply.instances, now_ms());
             drop(tables);
             take_knowledge(&following, reply);
+            bytes
         }
         None => {
             tracing::info!(hub = %hub.name, zone = %hub.zone, "hub of another zone does not answer");
             gateway.peers.roster().failed(&hub.name, now_ms());
+            0
         }
     }
 }
@@ -217,7 +254,8 @@
         }
         let name = Name::from(seed.to_string());
         let report = message(following, &name, Sender::Member, Vec::new(), 1);
-        if let Some(mut reply) = call(gateway, &name, seed, &report.sync, ZONE_TIMEOUT).await {
+        let answer = call(gateway, &name, seed, &report.sync, ZONE_TIMEOUT).await;
+        if let Some(Answer { mut reply, .. }) = answer {
             hear(gateway, &name, &report, &mut reply);
             take_knowledge(following, reply);
         }
@@ -292,7 +330,7 @@
     control: SocketAddr,
     sync: &Sync,
     limit: Duration,
-) -> Option<SyncReply> {
+) -> Option<Answer> {
     let until = Instant::now() + limit;
     let body = match postcard::to_stdvec(sync) {
         Ok(body) => Bytes::from(body),
@@ -305,6 +343,7 @@
         Some(connection) => connection,
         None => timeout_at(until, gateway.pool.connect(control)).await.ok()?.ok()?,
     };
+    let sent_bytes = body.len();
     let request = hyper::Request::builder()
         .method(Method::POST)
         .uri(PATH)
@@ -315,7 +354,7 @@
     let bytes = read_whole(response.into_body(), until).await.ok()?;
     gateway.pool.put(name, connection, None);
     match postcard::from_bytes(&bytes) {
-        Ok(reply) => Some(reply),
+        Ok(reply) => Some(Answer { reply, bytes: sent_bytes + bytes.len() }),
         Err(error) => {
             tracing::warn!(%error, peer = %name, "answer of a peer cannot be read");
             None
