--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,10 @@
 };
 
 use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use hyper::{
+    body::{Body, Incoming},
+    header::{CONTENT_TYPE, HeaderValue},
+};
 use tanagergauge_core::{Outcome, Reason, resend::Failure, splice::Splice};
 use tokio::time::{Instant, Sleep, sleep_until};
 
@@ -73,6 +76,8 @@
     first: Option<Bytes>,
     /// Present if another endpoint may continue the stream.
     splice: Option<Splice>,
+    /// Type of what is streamed; what continues it has the same.
+    content_type: Option<HeaderValue>,
     last_bytes: Instant,
     timer: Pin<Box<Sleep>>,
     resumed: u32,
@@ -99,6 +104,7 @@
             state: State::flowing(obtained.body, obtained.lease),
             first: Some(obtained.first),
             splice,
+            content_type: obtained.head.headers.get(CONTENT_TYPE).cloned(),
             last_bytes: Instant::now(),
             timer: Box::pin(sleep_until(request.until)),
             resumed: 0,
@@ -244,6 +250,14 @@
     fn resume_with(&mut self, course: Course, obtained: Option<Obtained>, cx: &mut Context<'_>) {
         self.course = course;
         match obtained {
+            Some(obtained) if !self.continues(&obtained) => {
+                tracing::warn!(
+                    request = %self.request.id,
+                    endpoint = %obtained.lease.chosen.id,
+                    "answer does not continue the stream"
+                );
+                self.give_up(Failure::BadAnswer, cx);
+            }
             Some(obtained) => {
                 self.resumed += 1;
                 self.first = Some(obtained.first);
@@ -255,6 +269,10 @@
         }
     }
 
+    fn continues(&self, obtained: &Obtained) -> bool {
+        obtained.head.headers.get(CONTENT_TYPE) == self.content_type.as_ref()
+    }
+
     /// The server drops what it has not written yet when a body fails, so that it gets a turn
     /// to write the last event first.
     fn give_up(&mut self, failure: Failure, cx: &mut Context<'_>) {
