Members read a long list from the store; take the start from the hub back

Not yet measured: the hubs' own reads of 3,000 heartbeats and the full lists.

The first read is each instance's own again. A full list of over 400 endpoints is handed on only to an instance that the store does not answer. Test a_long_list_is_read_from_the_store_where_it_answers.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -24,10 +24,6 @@
 const ENDPOINTS_PACE: Duration = Duration::from_millis(700);
 /// How often it is looked whether the hub still reads for this instance.
 const HUB_LOOK_EVERY: Duration = Duration::from_millis(200);
-/// How often an instance that just started looks whether its hub told it what it read.
-const START_LOOK_EVERY: Duration = Duration::from_millis(10);
-/// Age of the process from which it reads by itself if no hub told it anything, in milliseconds.
-const ALONE_AFTER_MS: u64 = 700;
 /// Pause after a read that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after reads that failed.
@@ -74,6 +70,11 @@
         &self.decode
     }
 
+    /// Whether the store does not answer this instance.
+    pub(crate) fn is_store_lost(&self) -> bool {
+        self.lock_link().lost
+    }
+
     fn lock_link(&self) -> MutexGuard<'_, Link> {
         self.link.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -138,10 +139,6 @@
             sleep(HUB_LOOK_EVERY).await;
             continue;
         }
-        if following.waits_for_hub() {
-            sleep(START_LOOK_EVERY).await;
-            continue;
-        }
         let next_read = Instant::now() + pace;
         let known_end = following.views().end(topic).or(read_once.then_some(0));
         let end = known_end.filter(|_| !history_lost);
@@ -197,20 +194,6 @@
 }
 
 impl Following {
-    /// Whether an instance that just started leaves the first read to its hub: if all start at
-    /// once and each reads everything, the store is too slow for all.
-    fn waits_for_hub(&self) -> bool {
-        let gateway = &self.gateway;
-        if gateway.is_informed() || clock::now_ms() >= ALONE_AFTER_MS {
-            return false;
-        }
-        let own = &gateway.settings;
-        let roster = gateway.peers.roster();
-        let hub = roster.hub(&own.availability_zone, &own.instance, clock::now_ms());
-        let is_hub = hub.is_none_or(|it| it.name == own.instance);
-        !(gateway.peers.is_roster_read() && is_hub)
-    }
-
     fn confirm(&self, topic: Topic) {
         if topic == Topic::Endpoints {
             self.gateway.confirm_endpoints(0);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -31,6 +31,8 @@
     pub(crate) instances: u32,
     /// Where the sender's knowledge ends.
     pub(crate) known: Position,
+    /// The sender cannot read the store, and needs all endpoints however many they are.
+    pub(crate) wants_all: bool,
     /// Requests that crash endpoints, as far as the receiver has not heard of them.
     pub(crate) suspects: Vec<Suspect>,
     /// Up to where the sender heard the receiver's news of such requests.
@@ -57,7 +59,8 @@
     pub(crate) endpoints: Vec<Record>,
     /// `endpoints` are all there are: others that the sender knows are gone.
     pub(crate) endpoints_are_all: bool,
-    /// Age of what the receiver read from the store, in milliseconds.
+    /// Age of what the receiver read from the store, in milliseconds; the greatest if the sender
+    /// has to read by itself.
     pub(crate) age_ms: u64,
     /// Requests that crash endpoints, as far as the sender has not heard of them.
     pub(crate) suspects: SuspectNews,
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -1,11 +1,15 @@
 //! Answers to peers' reports.
 
 use bytes::Bytes;
-use tanagergauge_core::roster::Peer;
+use tanagergauge_core::{newest::Lacking, roster::Peer};
 
 use super::message::{Sender, Sync, SyncReply};
 use crate::{clock, follow::Following};
 
+/// Endpoints that are handed on at once. A peer that lacks more reads them from the store: its
+/// links are faster than those of an instance.
+const HANDED_ON_LIMIT: usize = 400;
+
 /// Takes in a report and answers with what its sender lacks; `None` if it cannot be read.
 pub(crate) fn answer(following: &Following, body: &[u8]) -> Option<Bytes> {
     let sync: Sync = match postcard::from_bytes(body) {
@@ -51,15 +55,21 @@
         ours.news_since(sync.suspects_heard)
     };
     let views = following.views();
-    let lacking = views.endpoints_lacking(known.endpoints_end);
+    let (mut position, mut age_ms) = (views.position(), gateway.endpoints_age_ms());
+    let mut lacking = views.endpoints_lacking(known.endpoints_end);
+    if lacking.are_all && lacking.records.len() > HANDED_ON_LIMIT && !sync.wants_all {
+        lacking = Lacking::default();
+        position.endpoints_end = 0;
+        age_ms = None;
+    }
     SyncReply {
         loads,
         instances,
-        known: views.position(),
+        known: position,
         configuration: views.configuration_since(known.configuration_end),
         endpoints: lacking.records,
         endpoints_are_all: lacking.are_all,
-        age_ms: gateway.endpoints_age_ms().unwrap_or(u64::MAX),
+        age_ms: age_ms.unwrap_or(u64::MAX),
         suspects,
     }
 }
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -2,10 +2,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Mutex, MutexGuard, PoisonError},
 };
 
 use tanagergauge_core::{
@@ -29,8 +26,6 @@
 pub(crate) struct Peers {
     reports: Mutex<Tables>,
     roster: Mutex<Roster>,
-    /// The list of instances was read from the store.
-    roster_read: AtomicBool,
     hub: Mutex<HubLink>,
     /// News of requests that crash endpoints, by peer that this instance reports to.
     heard: Mutex<HashMap<Name, Heard>>,
@@ -122,16 +117,6 @@
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The list of instances was read from the store.
-    pub(crate) fn set_roster_read(&self) {
-        self.roster_read.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether the list of instances was read from the store.
-    pub(crate) fn is_roster_read(&self) -> bool {
-        self.roster_read.load(Ordering::Relaxed)
-    }
-
     /// The hub answered.
     pub(crate) fn hub_answered(&self, age_ms: u64) {
         *self.lock_hub() = HubLink { answered_ms: clock::now_ms().max(1), age_ms };
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -28,8 +28,6 @@
     store::{Snapshot, Store, Topic},
 };
 
-/// Time until the next report while configuration or endpoints are not known.
-const UNINFORMED_PAUSE: Duration = Duration::from_millis(20);
 /// Longest wait for the hub of this zone.
 const ZONE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest wait for the hub of another zone.
@@ -69,12 +67,11 @@
     tokio::spawn(keep_roster(Arc::clone(&gateway), store));
     loop {
         let begin = Instant::now();
-        let mut pause = Duration::from_millis(report(&following, &own).await);
+        let pause_ms = report(&following, &own).await;
         if !gateway.is_informed() {
             ask_seeds(&following).await;
-            pause = UNINFORMED_PAUSE;
         }
-        sleep_until(begin + pause).await;
+        sleep_until(begin + Duration::from_millis(pause_ms)).await;
     }
 }
 
@@ -126,7 +123,6 @@
         match store.snapshot(Topic::Instances).await {
             Ok(snapshot) => {
                 take_roster(&gateway, snapshot);
-                gateway.peers.set_roster_read();
                 sleep(ROSTER_EVERY).await;
             }
             Err(error) => {
@@ -286,6 +282,7 @@
         loads,
         instances,
         known,
+        wants_all: following.is_store_lost(),
         suspects: suspects.suspects,
         suspects_heard: heard.from_peer,
     };
