--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -210,8 +210,11 @@
         calls.spawn(report_to_zone(Arc::clone(following), hub));
     }
     let mut longest = 0;
-    while let Some(bytes) = calls.join_next().await {
-        longest = longest.max(bytes.unwrap_or(0));
+    while let Some(ended) = calls.join_next().await {
+        match ended {
+            Ok(bytes) => longest = longest.max(bytes),
+            Err(error) => tracing::error!(%error, "a report to another zone was not finished"),
+        }
     }
     longest
 }
