Log the prompt parts of broken requests and the losses of a suspect

'sending failed' with 'broke' names the prompt's parts; 'endpoint was lost with requests in progress' says how many losses count against the most suspected of them.

--- a/crates/core/src/prompt_part.rs
+++ b/crates/core/src/prompt_part.rs
@@ -44,6 +44,12 @@
     parts.iter().map(|it| it.tokens).sum()
 }
 
+/// The ids of the parts in hexadecimal, separated by commas, for the log.
+pub fn format_ids(parts: &[PromptPart]) -> String {
+    let ids: Vec<String> = parts.iter().map(|it| format!("{:x}", it.id)).collect();
+    ids.join(",")
+}
+
 /// Parts that one endpoint was sent and is expected to have cached. A wrong guess costs prefill
 /// time but does not affect correctness.
 #[derive(Clone, Debug, Default)]
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -203,10 +203,13 @@
 
     /// Whether a request is quarantined. Unlike [`Quarantine::check`] it announces no trial.
     pub fn is_quarantined(&self, fingerprint: Fingerprint, now_ms: u64) -> bool {
+        self.loss_count(fingerprint, now_ms) >= self.settings.loss_limit
+    }
+
+    /// Number of endpoints whose loss counts against a request.
+    pub fn loss_count(&self, fingerprint: Fingerprint, now_ms: u64) -> usize {
         let since_ms = now_ms.saturating_sub(self.settings.retention_ms);
-        let losses =
-            self.suspicions.get(&fingerprint).map_or(0, |it| it.counted_losses(since_ms).len());
-        losses >= self.settings.loss_limit
+        self.suspicions.get(&fingerprint).map_or(0, |it| it.counted_losses(since_ms).len())
     }
 
     /// Number of suspects.
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -32,6 +32,15 @@
     updates: UpdateLog<Fingerprint>,
 }
 
+/// What the loss of an endpoint means for the requests that were interrupted there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LossReport {
+    /// Number of requests that were interrupted there recently.
+    pub interrupted: usize,
+    /// Largest number of losses that count against one of them.
+    pub most_losses: usize,
+}
+
 /// A request whose connection to an endpoint broke.
 #[derive(Clone, Debug)]
 struct Interruption {
@@ -94,8 +103,7 @@
 
     /// Records that an endpoint is gone: it accepts no connections, or left the list. If requests
     /// were interrupted there recently, the loss is taken for a crash that one of them caused.
-    /// Returns their number.
-    pub fn record_endpoint_loss(&mut self, endpoint: &Name, now_ms: u64) -> usize {
+    pub fn record_endpoint_loss(&mut self, endpoint: &Name, now_ms: u64) -> LossReport {
         let since_ms = now_ms.saturating_sub(INTERRUPTION_MAX_AGE_MS);
         self.interruptions.retain(|it| it.at_ms >= since_ms);
         let there = self.interruptions.iter().filter(|it| it.endpoint == *endpoint);
@@ -105,7 +113,9 @@
             self.quarantine.record_endpoint_loss(endpoint, &interrupted, now_ms);
             self.record_updates();
         }
-        interrupted.len()
+        let losses = |it: &Fingerprint| self.quarantine.loss_count(*it, now_ms);
+        let most_losses = interrupted.iter().map(losses).max().unwrap_or(0);
+        LossReport { interrupted: interrupted.len(), most_losses }
     }
 
     /// Records that a request completed, which clears it: another request caused the crashes.
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -5,6 +5,7 @@
     Name, Outcome, Reason,
     admission_controller::AdmissionDecision,
     balancer::SelectedEndpoint,
+    prompt_part,
     send_history::{Failure, SendHistory},
 };
 
@@ -56,6 +57,8 @@
             at_ms = clock::elapsed_ms(request.arrived),
             left_ms = clock::as_ms(request.time_left()),
             list_age_ms = self.list_age_ms,
+            // A request that crashes endpoints may share only one of them with other such requests.
+            parts = (failure == Failure::Broke).then(|| prompt_part::format_ids(&request.parts)),
             "sending failed"
         );
         self.send_history.record_failure(failure);
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -49,9 +49,14 @@
 /// Records that an endpoint is gone, which counts against the requests that broke off there
 /// shortly before.
 pub(crate) fn record_endpoint_lost(gateway: &Gateway, endpoint: &Name) {
-    let requests = gateway.suspects().record_endpoint_loss(endpoint, clock::unix_ms());
-    if requests > 0 {
-        tracing::info!(%endpoint, requests, "endpoint was lost with requests in progress");
+    let loss = gateway.suspects().record_endpoint_loss(endpoint, clock::unix_ms());
+    if loss.interrupted > 0 {
+        tracing::info!(
+            %endpoint,
+            requests = loss.interrupted,
+            most_losses = loss.most_losses,
+            "endpoint was lost with requests in progress"
+        );
     }
 }
 
