Suspect the parts of a prompt of crashing endpoints, not only whole requests

Cause: a suspicion was keyed by account, target and body, so that each of these requests was another suspect with one loss. Class: evidence gathered under a key that is finer than the cause.

Change: the shared parts of the prompt are suspects too, with the same exchange and limit; a request that completes with success clears them. A part is blamed only for crashes that no other suspect explains that the request lacks, so that sound requests with the same first part or account go on although every crashing request has these as well. Endpoints lost within 250 ms count once: when many fail together a part in use at several is not the cause. A retry is checked as well, and an error response no longer clears a suspect.

--- /dev/null
+++ b/crates/core/src/crash_attribution.rs
@@ -0,0 +1,107 @@
+//! Decides which part of its prompt, if any, makes a request crash endpoints.
+//!
+//! Requests that crash endpoints may have nothing in common but one part of their prompts. Their
+//! other parts, and those of requests that ran beside them, are lost with the same endpoints, but
+//! occur in requests that complete as well, which clears them. A part that is rarely used may not
+//! have been cleared yet. So a part is blamed only for crashes that no other suspect explains that
+//! the request lacks: a request with all parts that may be to blame is refused, one with only some
+//! of them runs, and shows which of them it was.
+
+use smallvec::SmallVec;
+
+use crate::{
+    Name,
+    prompt_part::{PromptPart, PromptParts},
+    quarantine::{Fingerprint, Quarantine},
+};
+
+/// Losses less than this time apart count as one, in milliseconds: when many endpoints fail at
+/// once, a part that is in use at several of them is not the cause.
+const SAME_INCIDENT_MS: u64 = 250;
+
+/// What a request is recognized by.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestFingerprints {
+    /// Identifies the whole request.
+    pub request: Fingerprint,
+    /// Identify the parts of its prompt that other requests may share, in order.
+    pub parts: SmallVec<[Fingerprint; 4]>,
+}
+
+impl RequestFingerprints {
+    /// Fingerprints of a request to a service. The last part of the prompt is not shared with
+    /// other requests.
+    pub fn new(request: Fingerprint, service: &str, parts: &PromptParts) -> RequestFingerprints {
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let fingerprint = |it: &PromptPart| Fingerprint::of_part(service, *it);
+        RequestFingerprints { request, parts: shared.iter().map(fingerprint).collect() }
+    }
+
+    /// All fingerprints.
+    pub fn iter(&self) -> impl Iterator<Item = Fingerprint> {
+        std::iter::once(self.request).chain(self.parts.iter().copied())
+    }
+
+    fn contains(&self, fingerprint: Fingerprint) -> bool {
+        self.iter().any(|it| it == fingerprint)
+    }
+}
+
+/// The first of a request's parts that is to blame for as many crashes as quarantine a request;
+/// `None` if there is none. The index counts from the beginning of the prompt.
+pub fn blamed_part(
+    suspects: &Quarantine,
+    request: &RequestFingerprints,
+    now_ms: u64,
+) -> Option<usize> {
+    request.parts.iter().position(|part| is_blamed(suspects, *part, request, now_ms))
+}
+
+fn is_blamed(
+    suspects: &Quarantine,
+    part: Fingerprint,
+    request: &RequestFingerprints,
+    now_ms: u64,
+) -> bool {
+    if crash_count(suspects, part, None, now_ms) < suspects.loss_limit() {
+        return false;
+    }
+    let others = suspects.fingerprints().filter(|it| !request.contains(*it));
+    let mut others =
+        others.filter(|it| crash_count(suspects, *it, None, now_ms) >= suspects.loss_limit());
+    others.all(|it| crash_count(suspects, part, Some(it), now_ms) >= suspects.loss_limit())
+}
+
+/// Number of crashes that count against a suspect and that `explanation` does not explain, because
+/// it was not running at the endpoint.
+fn crash_count(
+    suspects: &Quarantine,
+    suspect: Fingerprint,
+    explanation: Option<Fingerprint>,
+    now_ms: u64,
+) -> usize {
+    let Some(losses) = suspects.losses_of(suspect, now_ms) else { return 0 };
+    let explained = explanation.and_then(|it| suspects.losses_of(it, now_ms));
+    let is_explained = |endpoint: &Name| {
+        explained.clone().is_some_and(|mut losses| losses.any(|(it, _)| it == endpoint))
+    };
+    let mut times: Vec<u64> = losses
+        .filter(|(endpoint, _)| !is_explained(endpoint))
+        .map(|(_, lost_ms)| lost_ms)
+        .collect();
+    times.sort_unstable();
+    count_incidents(&times)
+}
+
+/// Number of times, in ascending order, that are at least [`SAME_INCIDENT_MS`] apart.
+fn count_incidents(times_ms: &[u64]) -> usize {
+    let mut count = 0;
+    let mut last_ms = None;
+    for &at_ms in times_ms {
+        if last_ms.is_none_or(|last_ms| at_ms >= last_ms + SAME_INCIDENT_MS) {
+            count += 1;
+            last_ms = Some(at_ms);
+        }
+    }
+    count
+}
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -9,7 +9,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::Name;
+use crate::{Name, prompt_part::PromptPart};
 
 /// Most fingerprints to track.
 const FINGERPRINT_LIMIT: usize = 1024;
@@ -26,6 +26,10 @@
 /// First word of a finding: an instance announced a trial.
 const TRIAL: &str = "trial";
 
+/// Stands for the account in the fingerprints of prompt parts. No account's name
+/// contains a NUL, so that they differ from those of requests.
+const PART_ACCOUNT: &str = "\0part";
+
 /// Settings of the quarantine.
 #[derive(Clone, Copy, Debug)]
 pub struct QuarantineSettings {
@@ -45,7 +49,7 @@
 }
 
 /// Identifies a request by its account, target and content, so that a resent request is
-/// recognized although its ids differ.
+/// recognized although its ids differ; or a part of a prompt, in all requests that have it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fingerprint([u8; 16]);
 
@@ -71,6 +75,11 @@
         first.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
         Fingerprint(first)
     }
+
+    /// Hashes a part of the prompts that a service runs.
+    pub fn of_part(service: &str, part: PromptPart) -> Fingerprint {
+        Fingerprint::new(PART_ACCOUNT, service, &part.id.to_le_bytes())
+    }
 }
 
 /// Findings about a suspect. Merging takes the maximum of each time, so that its order does not
@@ -208,8 +217,28 @@
 
     /// Number of endpoints whose loss counts against a request.
     pub fn loss_count(&self, fingerprint: Fingerprint, now_ms: u64) -> usize {
+        self.losses_of(fingerprint, now_ms).map_or(0, |losses| losses.count())
+    }
+
+    /// Endpoints whose loss counts against a request, and when each was lost; `None` if it is not
+    /// suspected.
+    pub fn losses_of(
+        &self,
+        fingerprint: Fingerprint,
+        now_ms: u64,
+    ) -> Option<impl Iterator<Item = (&Name, u64)> + Clone> {
         let since_ms = now_ms.saturating_sub(self.settings.retention_ms);
-        self.suspicions.get(&fingerprint).map_or(0, |it| it.counted_losses(since_ms).len())
+        Some(self.suspicions.get(&fingerprint)?.losses_after(since_ms))
+    }
+
+    /// Everything that is suspected.
+    pub fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+        self.suspicions.keys().copied()
+    }
+
+    /// Number of distinct endpoints lost at which a request is quarantined.
+    pub fn loss_limit(&self) -> usize {
+        self.settings.loss_limit
     }
 
     /// Number of suspects.
@@ -230,7 +259,9 @@
     /// Whether a loss counts against a request.
     pub fn is_suspect(&self, fingerprint: Fingerprint, now_ms: u64) -> bool {
         let since_ms = now_ms.saturating_sub(self.settings.retention_ms);
-        self.suspicions.get(&fingerprint).is_some_and(|it| !it.counted_losses(since_ms).is_empty())
+        self.suspicions
+            .get(&fingerprint)
+            .is_some_and(|it| it.losses_after(since_ms).next().is_some())
     }
 
     /// Returns the findings that changed since the last call, to send to peers.
@@ -267,7 +298,7 @@
     /// Removes suspects without a loss that still counts.
     pub fn expire(&mut self, now_ms: u64) {
         let since_ms = now_ms.saturating_sub(self.settings.retention_ms);
-        self.suspicions.retain(|_, it| !it.counted_losses(since_ms).is_empty());
+        self.suspicions.retain(|_, it| it.losses_after(since_ms).next().is_some());
     }
 
     fn entry(&mut self, fingerprint: Fingerprint) -> &mut Suspicion {
@@ -280,7 +311,7 @@
 
     fn evict_least_suspected(&mut self) {
         let evidence =
-            |it: &Suspicion| (it.counted_losses(0).len(), it.losses.values().max().copied());
+            |it: &Suspicion| (it.losses_after(0).count(), it.losses.values().max().copied());
         let weakest =
             self.suspicions.iter().min_by_key(|(_, it)| evidence(it)).map(|(key, _)| *key);
         if let Some(key) = weakest {
@@ -318,11 +349,16 @@
         suspicion
     }
 
+    /// Endpoints whose loss after `since_ms` counts, and when each was lost.
+    fn losses_after(&self, since_ms: u64) -> impl Iterator<Item = (&Name, u64)> + Clone {
+        let since_ms = since_ms.max(self.cleared_ms);
+        let losses = self.losses.iter().map(|(endpoint, at_ms)| (endpoint, *at_ms));
+        losses.filter(move |(_, at_ms)| *at_ms > since_ms)
+    }
+
     /// Endpoints whose loss after `since_ms` counts.
     fn counted_losses(&self, since_ms: u64) -> Vec<Name> {
-        let since_ms = since_ms.max(self.cleared_ms);
-        let counted = self.losses.iter().filter(|(_, at_ms)| **at_ms > since_ms);
-        counted.map(|(endpoint, _)| endpoint.clone()).collect()
+        self.losses_after(since_ms).map(|(endpoint, _)| endpoint.clone()).collect()
     }
 
     /// Time of the loss whose expiry ends the quarantine, because too few losses remain.
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -1,8 +1,8 @@
-//! Finds requests that crash the endpoints that run them, across all instances.
+//! Finds what crashes the endpoints that run it, across all instances: a request that is sent again
+//! and again, or a part of a prompt in ever new requests.
 //!
-//! Such a request is retried again and again, each time through another instance. A single
-//! instance sees too few crashes to tell it from the requests that happened to run beside it, so
-//! instances exchange what they saw.
+//! They come through all instances. A single instance sees too few crashes to tell them from the
+//! requests that happened to run beside them, so instances exchange what they saw.
 
 use std::collections::VecDeque;
 
@@ -10,6 +10,7 @@
 
 use crate::{
     Name,
+    crash_attribution::{RequestFingerprints, blamed_part},
     quarantine::{Fingerprint, Quarantine, QuarantineSettings, Suspicion},
     update_log::UpdateLog,
 };
@@ -22,13 +23,13 @@
 /// Maximum number of updates kept for peers; a peer that is further behind misses older ones.
 const MAX_UPDATES: usize = 512;
 
-/// The suspected requests, and the interruptions that may add to them.
+/// The suspected requests and prompt parts, and the interruptions that may add to them.
 #[derive(Clone, Debug)]
 pub struct Suspects {
     quarantine: Quarantine,
     /// Oldest first; at most [`MAX_INTERRUPTIONS`].
     interruptions: VecDeque<Interruption>,
-    /// Requests whose suspicion changed, for peers.
+    /// Suspects whose suspicion changed, for peers.
     updates: UpdateLog<Fingerprint>,
 }
 
@@ -37,7 +38,7 @@
 pub struct LossReport {
     /// Number of requests that were interrupted there recently.
     pub interrupted: usize,
-    /// Largest number of losses that count against one of them.
+    /// Largest number of losses that count against one of them or a part of its prompt.
     pub most_losses: usize,
 }
 
@@ -45,14 +46,26 @@
 #[derive(Clone, Debug)]
 struct Interruption {
     endpoint: Name,
-    fingerprint: Fingerprint,
+    request: RequestFingerprints,
+    /// Monotonic time.
     at_ms: u64,
+    /// The same moment as Unix time, which instances can compare.
+    at_unix_ms: u64,
 }
 
-/// A suspected request, as it is sent to peers.
+/// Why a request must not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuarantineCause {
+    /// The same request crashed several endpoints.
+    Request,
+    /// Requests with this part of the prompt did; parts are counted from 0.
+    Part(usize),
+}
+
+/// A suspected request or prompt part, as it is sent to peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
-    /// Identifies the request.
+    /// Identifies the request or part.
     pub fingerprint: Fingerprint,
     /// The crashes that it may have caused.
     pub suspicion: Suspicion,
@@ -61,7 +74,7 @@
 /// Updates that a peer has not received.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectUpdates {
-    /// Requests whose suspicion changed.
+    /// Suspects whose suspicion changed.
     pub suspects: Vec<Suspect>,
     /// Position from which to ask for further updates.
     pub next: u64,
@@ -77,50 +90,72 @@
         }
     }
 
-    /// Number of suspected requests.
+    /// Number of suspected requests and prompt parts.
     pub fn len(&self) -> usize {
         self.quarantine.len()
     }
 
-    /// Whether no request is suspected.
+    /// Whether nothing is suspected.
     pub fn is_empty(&self) -> bool {
         self.quarantine.is_empty()
     }
 
-    /// Whether a request crashed so many endpoints that it must not run again.
-    pub fn is_quarantined(&self, fingerprint: Fingerprint, now_ms: u64) -> bool {
-        self.quarantine.is_quarantined(fingerprint, now_ms)
+    /// Why a request must not run, because it or a part of its prompt crashed so many endpoints;
+    /// `None` if it may run.
+    pub fn quarantine_cause(
+        &self,
+        request: &RequestFingerprints,
+        unix_ms: u64,
+    ) -> Option<QuarantineCause> {
+        if self.quarantine.is_quarantined(request.request, unix_ms) {
+            return Some(QuarantineCause::Request);
+        }
+        blamed_part(&self.quarantine, request, unix_ms).map(QuarantineCause::Part)
     }
 
     /// Records that a request's connection to an endpoint broke; the endpoint may have crashed.
-    pub fn record_interrupted(&mut self, endpoint: &Name, fingerprint: Fingerprint, now_ms: u64) {
+    /// `now_ms` is monotonic, `unix_ms` the same moment as Unix time.
+    pub fn record_interrupted(
+        &mut self,
+        endpoint: &Name,
+        request: RequestFingerprints,
+        now_ms: u64,
+        unix_ms: u64,
+    ) {
         if self.interruptions.len() >= MAX_INTERRUPTIONS {
             self.interruptions.pop_front();
         }
-        let endpoint = endpoint.clone();
-        self.interruptions.push_back(Interruption { endpoint, fingerprint, at_ms: now_ms });
+        let (endpoint, at_ms, at_unix_ms) = (endpoint.clone(), now_ms, unix_ms);
+        self.interruptions.push_back(Interruption { endpoint, request, at_ms, at_unix_ms });
     }
 
     /// Records that an endpoint is gone: it accepts no connections, or left the list. If requests
-    /// were interrupted there recently, the loss is taken for a crash that one of them caused.
+    /// were interrupted there recently, the loss is taken for a crash that one of them caused, at
+    /// the time of the interruption. `now_ms` is monotonic.
     pub fn record_endpoint_loss(&mut self, endpoint: &Name, now_ms: u64) -> LossReport {
         let since_ms = now_ms.saturating_sub(INTERRUPTION_MAX_AGE_MS);
         self.interruptions.retain(|it| it.at_ms >= since_ms);
-        let there = self.interruptions.iter().filter(|it| it.endpoint == *endpoint);
-        let interrupted: Vec<Fingerprint> = there.map(|it| it.fingerprint).collect();
-        self.interruptions.retain(|it| it.endpoint != *endpoint);
-        if !interrupted.is_empty() {
-            self.quarantine.record_endpoint_loss(endpoint, &interrupted, now_ms);
-            self.record_updates();
+        let (interrupted, others): (VecDeque<Interruption>, _) =
+            self.interruptions.drain(..).partition(|it| it.endpoint == *endpoint);
+        self.interruptions = others;
+        let mut most_losses = 0;
+        for it in &interrupted {
+            let suspects: Vec<Fingerprint> = it.request.iter().collect();
+            self.quarantine.record_endpoint_loss(endpoint, &suspects, it.at_unix_ms);
+            let count = |suspect: &Fingerprint| self.quarantine.loss_count(*suspect, it.at_unix_ms);
+            let losses = suspects.iter().map(count);
+            most_losses = losses.max().unwrap_or(0).max(most_losses);
         }
-        let losses = |it: &Fingerprint| self.quarantine.loss_count(*it, now_ms);
-        let most_losses = interrupted.iter().map(losses).max().unwrap_or(0);
+        self.record_updates();
         LossReport { interrupted: interrupted.len(), most_losses }
     }
 
-    /// Records that a request completed, which clears it: another request caused the crashes.
-    pub fn record_completed(&mut self, fingerprint: Fingerprint, now_ms: u64) {
-        self.quarantine.record_completed(fingerprint, now_ms);
+    /// Records that a request completed, which clears it and the parts of its prompt: something
+    /// else caused the crashes.
+    pub fn record_completed(&mut self, request: &RequestFingerprints, unix_ms: u64) {
+        for fingerprint in request.iter() {
+            self.quarantine.record_completed(fingerprint, unix_ms);
+        }
         self.record_updates();
     }
 
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -2,8 +2,10 @@
 
 use tanagergauge_core::{
     Name,
+    crash_attribution::RequestFingerprints,
+    prompt_part::PromptPart,
     quarantine::{Fingerprint, QuarantineSettings},
-    suspects::Suspects,
+    suspects::{QuarantineCause, Suspects},
     update_log::{SyncCursors, UpdateLog},
 };
 
@@ -15,13 +17,37 @@
     Suspects::new(Name::from(instance), SETTINGS)
 }
 
-fn fingerprint(content: &str) -> Fingerprint {
-    Fingerprint::new("pit", "libretto", content.as_bytes())
+/// A request without a prompt.
+fn plain(content: &str) -> RequestFingerprints {
+    prompt(content, &[])
+}
+
+/// A request with a prompt of these parts.
+fn prompt(content: &str, parts: &[u64]) -> RequestFingerprints {
+    let request = Fingerprint::new("pit", "libretto", content.as_bytes());
+    let parts = parts.iter().map(|id| PromptPart { id: *id, tokens: 100 }).collect();
+    RequestFingerprints::new(request, "engines", &parts)
+}
+
+fn is_quarantined(suspects: &Suspects, request: &RequestFingerprints, now_ms: u64) -> bool {
+    suspects.quarantine_cause(request, now_ms).is_some()
 }
 
 fn crash(suspects: &mut Suspects, endpoint: &str, content: &str, now_ms: u64) {
+    crash_with(suspects, endpoint, &[plain(content)], now_ms);
+}
+
+/// An endpoint crashes while these requests run there.
+fn crash_with(
+    suspects: &mut Suspects,
+    endpoint: &str,
+    running: &[RequestFingerprints],
+    now_ms: u64,
+) {
     let endpoint = Name::from(endpoint);
-    suspects.record_interrupted(&endpoint, fingerprint(content), now_ms);
+    for it in running {
+        suspects.record_interrupted(&endpoint, it.clone(), now_ms, now_ms);
+    }
     suspects.record_endpoint_loss(&endpoint, now_ms + 50);
 }
 
@@ -40,13 +66,13 @@
     }
     let [a, mut hub, c] = instances;
     send_updates(&a, &mut hub, &mut 0);
-    assert!(!hub.is_quarantined(fingerprint("culprit"), NOW_MS + 3_000));
+    assert!(!is_quarantined(&hub, &plain("culprit"), NOW_MS + 3_000));
     send_updates(&c, &mut hub, &mut 0);
     let mut other = suspects("d");
     send_updates(&hub, &mut other, &mut 0);
     for it in [&hub, &other] {
-        assert!(it.is_quarantined(fingerprint("culprit"), NOW_MS + 3_000));
-        assert!(!it.is_quarantined(fingerprint("bystander"), NOW_MS + 3_000));
+        assert!(is_quarantined(it, &plain("culprit"), NOW_MS + 3_000));
+        assert!(!is_quarantined(it, &plain("bystander"), NOW_MS + 3_000));
     }
 }
 
@@ -57,7 +83,8 @@
     for at in 0..10 {
         suspects.record_interrupted(
             &Name::from(format!("engine-{at}")),
-            fingerprint("unlucky"),
+            plain("unlucky"),
+            NOW_MS,
             NOW_MS,
         );
     }
@@ -75,10 +102,65 @@
         crash(&mut a, &format!("engine-{at}"), "bystander", NOW_MS + at * 100);
     }
     send_updates(&a, &mut b, &mut position);
-    assert!(b.is_quarantined(fingerprint("bystander"), NOW_MS + 500));
-    a.record_completed(fingerprint("bystander"), NOW_MS + 1_000);
+    assert!(is_quarantined(&b, &plain("bystander"), NOW_MS + 500));
+    a.record_completed(&plain("bystander"), NOW_MS + 1_000);
     send_updates(&a, &mut b, &mut position);
-    assert!(!b.is_quarantined(fingerprint("bystander"), NOW_MS + 1_001));
+    assert!(!is_quarantined(&b, &plain("bystander"), NOW_MS + 1_001));
+}
+
+/// The requests have nothing in common but part 7.
+#[test]
+fn a_part_that_crashes_endpoints_is_found_in_ever_new_requests() {
+    let mut instances = ["a", "b", "c"].map(suspects);
+    for (at, it) in instances.iter_mut().enumerate() {
+        let at = at as u64;
+        let request = prompt(&format!("request-{at}"), &[100 + at, 7, 200 + at, 300 + at]);
+        crash_with(it, &format!("engine-{at}"), &[request], NOW_MS + at * 1_000);
+    }
+    let [a, mut hub, c] = instances;
+    let request = prompt("new", &[1, 7, 2, 3]);
+    send_updates(&a, &mut hub, &mut 0);
+    assert_eq!(hub.quarantine_cause(&request, NOW_MS + 3_000), None);
+    send_updates(&c, &mut hub, &mut 0);
+    assert_eq!(hub.quarantine_cause(&request, NOW_MS + 3_000), Some(QuarantineCause::Part(1)));
+    // The last part of a prompt is its own: an equal id there is another text.
+    assert!(!is_quarantined(&hub, &prompt("sound", &[1, 2, 7]), NOW_MS + 3_000));
+    assert!(!is_quarantined(&hub, &prompt("sound", &[100, 200, 300]), NOW_MS + 3_000));
+}
+
+/// Part 1 is in all requests that crash, and in sound ones too seldom to have been cleared.
+#[test]
+fn a_part_that_another_suspect_explains_is_not_blamed() {
+    let mut suspects = suspects("a");
+    for at in 0..4 {
+        let culprit = prompt(&format!("culprit-{at}"), &[1, 7, 200 + at]);
+        let beside = prompt(&format!("beside-{at}"), &[1, 80 + at, 300 + at]);
+        crash_with(&mut suspects, &format!("engine-{at}"), &[culprit, beside], NOW_MS + at * 1_000);
+    }
+    let now_ms = NOW_MS + 5_000;
+    assert!(is_quarantined(&suspects, &prompt("culprit", &[1, 7, 2]), now_ms));
+    assert!(!is_quarantined(&suspects, &prompt("sound", &[1, 9, 2]), now_ms));
+    assert!(!is_quarantined(&suspects, &prompt("sound", &[9, 80, 2]), now_ms));
+    // Which of the two parts is to blame is known once the other one has completed.
+    assert!(!is_quarantined(&suspects, &prompt("culprit", &[9, 7, 2]), now_ms));
+    suspects.record_completed(&prompt("sound", &[1, 9, 3]), now_ms);
+    assert!(is_quarantined(&suspects, &prompt("culprit", &[9, 7, 2]), now_ms + 1));
+    assert!(!is_quarantined(&suspects, &prompt("sound", &[1, 9, 2]), now_ms + 1));
+}
+
+/// Parts that are in use everywhere are not to blame when many endpoints fail at once.
+#[test]
+fn endpoints_that_fail_together_count_as_one_crash() {
+    let mut suspects = suspects("a");
+    for at in 0..20 {
+        let running: Vec<_> =
+            (0..4).map(|it| prompt(&format!("{at}-{it}"), &[it, 10 + it, 100 + at])).collect();
+        crash_with(&mut suspects, &format!("engine-{at}"), &running, NOW_MS + at * 10);
+    }
+    for part in 0..4 {
+        let request = prompt("new", &[part, 10 + part, 5]);
+        assert!(!is_quarantined(&suspects, &request, NOW_MS + 1_000));
+    }
 }
 
 #[test]
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -80,7 +80,9 @@
     guard.armed = false;
     match result {
         Ok(Served::Buffered(response)) => {
-            suspects::record_success(gateway, &request);
+            if response.status().is_success() {
+                suspects::record_success(gateway, &request);
+            }
             progress.report(&request, Outcome::Answered, None, 0);
             response
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 use tanagergauge_core::{
     Name,
+    crash_attribution::RequestFingerprints,
     prompt_part::{PromptPart, PromptParts},
     quarantine::Fingerprint,
     routing::{ClientAccount, Route},
@@ -60,11 +61,13 @@
 }
 
 impl Request {
-    /// Identifies equal requests by account, target and body, regardless of their ids.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
+    /// Identifies equal requests by account, target and body, regardless of their ids, and the
+    /// parts of their prompts.
+    pub(crate) fn fingerprints(&self) -> RequestFingerprints {
         let account = self.account.as_ref().map_or("", |it| &*it.name);
         let target = format!("{} {}", self.route.name, self.uri);
-        Fingerprint::new(account, &target, &self.body)
+        let request = Fingerprint::new(account, &target, &self.body);
+        RequestFingerprints::new(request, &self.service, &self.parts)
     }
 
     /// Time until the deadline.
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -20,7 +20,7 @@
     progress::{RequestProgress, SHORT_RETRY_MS},
     request::{Request, uniform_hash},
     response::Refusal,
-    upstream_response,
+    suspects, upstream_response,
 };
 
 /// Time-out of an attempt that can be retried, as a multiple of the request's first-byte goal.
@@ -139,6 +139,9 @@
 /// Whether another attempt is allowed; takes a retry from the budget if it needs one.
 fn may_attempt(gateway: &Gateway, request: &Request, progress: &RequestProgress) -> bool {
     let Some(failure) = progress.last_failure else { return true };
+    if suspects::is_quarantined(gateway, request) {
+        return false;
+    }
     match progress.send_history.next_step(request.route.retry_safety, request.route.attempts) {
         NextStep::NotRun | NextStep::Unknown => false,
         NextStep::Resend { uses_retry_budget: false } => true,
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -1,13 +1,16 @@
-//! Quarantine of requests that crash endpoints: records failures and decides which requests are
-//! refused.
+//! Quarantine of requests and prompt parts that crash endpoints: records failures and decides which
+//! requests are refused.
 
-use tanagergauge_core::{Name, quarantine::QuarantineSettings, send_history::Failure};
+use tanagergauge_core::{
+    Name, quarantine::QuarantineSettings, send_history::Failure, suspects::QuarantineCause,
+};
 
 use crate::{clock, gateway::Gateway, request::Request};
 
-/// Number of distinct endpoints lost at which a request is refused; the platform allows three.
+/// Number of distinct endpoints lost at which a request is refused; the platform allows three, and
+/// five for a part of a prompt.
 const LOSS_LIMIT: usize = 3;
-/// How long a crash counts against a request, in milliseconds.
+/// How long a crash counts against a request or part, in milliseconds.
 const RETENTION_MS: u64 = 600_000;
 
 /// Settings of the quarantine. `announce_ms` is 0 because the gateway runs no isolated trials that
@@ -16,10 +19,23 @@
     QuarantineSettings { retention_ms: RETENTION_MS, announce_ms: 0, loss_limit: LOSS_LIMIT }
 }
 
-/// Whether a request crashed too many endpoints to run again.
+/// Whether a request, or a part of its prompt, crashed too many endpoints to run again.
 pub(crate) fn is_quarantined(gateway: &Gateway, request: &Request) -> bool {
-    let suspects = gateway.suspects();
-    !suspects.is_empty() && suspects.is_quarantined(request.fingerprint(), clock::unix_ms())
+    let cause = {
+        let suspects = gateway.suspects();
+        if suspects.is_empty() {
+            return false;
+        }
+        suspects.quarantine_cause(&request.fingerprints(), clock::unix_ms())
+    };
+    let part = match cause {
+        None => return false,
+        Some(QuarantineCause::Request) => None,
+        Some(QuarantineCause::Part(index)) => request.parts.get(index),
+    };
+    let part = part.map(|it| format!("{:x}", it.id));
+    tracing::info!(request = %request.id, route = %request.route.name, part, "request is quarantined");
+    true
 }
 
 /// Records a failed attempt; only failures that hint at a crash count.
@@ -33,7 +49,8 @@
         Failure::Broke => {
             gateway.suspects().record_interrupted(
                 endpoint,
-                request.fingerprint(),
+                request.fingerprints(),
+                clock::now_ms(),
                 clock::unix_ms(),
             );
         }
@@ -49,7 +66,7 @@
 /// Records that an endpoint is gone, which counts against the requests that broke off there
 /// shortly before.
 pub(crate) fn record_endpoint_lost(gateway: &Gateway, endpoint: &Name) {
-    let loss = gateway.suspects().record_endpoint_loss(endpoint, clock::unix_ms());
+    let loss = gateway.suspects().record_endpoint_loss(endpoint, clock::now_ms());
     if loss.interrupted > 0 {
         tracing::info!(
             %endpoint,
@@ -64,6 +81,6 @@
 pub(crate) fn record_success(gateway: &Gateway, request: &Request) {
     let mut suspects = gateway.suspects();
     if !suspects.is_empty() {
-        suspects.record_completed(request.fingerprint(), clock::unix_ms());
+        suspects.record_completed(&request.fingerprints(), clock::unix_ms());
     }
 }
