Check an endpoint at once when a connection to it broke

Cause: a crash was recognized only by the next request that could not connect, or when the entry left the list, 3.6 s after the crash and never while the store is away; contactMs is 4 s.

Change: a broken connection begins one attempt to connect, at most one an endpoint at a time. If that fails the endpoint is lost, and its health says so too.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,7 +15,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    clock, connection::Connection, gateway::Gateway, request::Request, suspects, upstream_response,
+    clock, connection::Connection, gateway::Gateway, liveness, request::Request, suspects,
+    upstream_response,
 };
 
 /// Largest body that is buffered, in bytes.
@@ -156,12 +157,15 @@
 
 /// Records a failure against the endpoint's health and the request's crash history.
 pub(crate) fn record_failure(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     request: &Request,
     chosen: &SelectedEndpoint,
     failure: Failure,
 ) {
     suspects::record_failure(gateway, request, &chosen.id, failure);
+    if failure == Failure::Broke {
+        liveness::begin_check(gateway, chosen);
+    }
     let now_ms = clock::now_ms();
     let mut balancer = gateway.balancer();
     if failure == Failure::Replaced {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     admission_controllers::AdmissionControllers, clock, header_names::HeaderNames,
-    peers::PeerState, pool::Pool, retry_budgets::RetryBudgets, settings::Settings, stop::Phase,
-    suspects,
+    liveness::LivenessChecks, peers::PeerState, pool::Pool, retry_budgets::RetryBudgets,
+    settings::Settings, stop::Phase, suspects,
 };
 use std::sync::Arc;
 
@@ -24,6 +24,7 @@
     pub(crate) header_names: HeaderNames,
     pub(crate) pool: Pool,
     pub(crate) peers: PeerState,
+    pub(crate) liveness_checks: LivenessChecks,
     /// Progress of a graceful stop.
     pub(crate) phase: watch::Sender<Phase>,
     /// Number of callers' requests in progress.
@@ -51,6 +52,7 @@
             header_names,
             pool: Pool::default(),
             peers: PeerState::default(),
+            liveness_checks: LivenessChecks::default(),
             phase: watch::Sender::new(Phase::Serving),
             in_progress: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod follow;
 mod gateway;
 mod header_names;
+mod liveness;
 mod logs;
 mod meters;
 mod peers;
--- /dev/null
+++ b/crates/gateway/src/liveness.rs
@@ -0,0 +1,47 @@
+//! Checks whether an endpoint is still there after a connection to it broke.
+//!
+//! An endpoint that crashed keeps its entry in the list for seconds, or for as long as the store is
+//! away, and where each instance sends it few requests, none of them may notice meanwhile.
+
+use std::{
+    collections::HashSet,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use tanagergauge_core::{Name, balancer::SelectedEndpoint};
+
+use crate::{clock, gateway::Gateway, suspects};
+
+/// Endpoints whose liveness is being checked.
+#[derive(Debug, Default)]
+pub(crate) struct LivenessChecks {
+    running: Mutex<HashSet<Name>>,
+}
+
+impl LivenessChecks {
+    fn lock(&self) -> MutexGuard<'_, HashSet<Name>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Begins a check of an endpoint in the background, unless one is running. An endpoint that accepts
+/// no connection is recorded as lost.
+pub(crate) fn begin_check(gateway: &Arc<Gateway>, endpoint: &SelectedEndpoint) {
+    let is_first = gateway.liveness_checks.lock().insert(endpoint.id.clone());
+    if is_first {
+        tokio::spawn(check(Arc::clone(gateway), endpoint.id.clone(), endpoint.address));
+    }
+}
+
+async fn check(gateway: Arc<Gateway>, endpoint: Name, address: SocketAddr) {
+    let connected = gateway.pool.connect(address).await;
+    gateway.liveness_checks.lock().remove(&endpoint);
+    if connected.is_ok() {
+        return;
+    }
+    if let Some(health) = gateway.balancer().health_mut(&endpoint) {
+        health.record_connect_failure(clock::now_ms());
+    }
+    suspects::record_endpoint_lost(&gateway, &endpoint);
+}
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -80,7 +80,7 @@
 
 /// Records a failure that came after the head of the response.
 pub(crate) fn record_failure(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     request: &Request,
     progress: &mut RequestProgress,
     attempt: &Attempt,
