Do not take the planned stop of an endpoint for a crash

Streams that an endpoint cut at the end of its planned stop counted as crashes, so that a part of their prompts, or the same request, would be refused after three such stops.

Cause: every endpoint that left the list counted as lost. Change: an endpoint that has announced its stop, or has left the list before, is not taken for crashed. The test failed before: after three endpoints that drained, the part was refused.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -257,6 +257,11 @@
         }
     }
 
+    /// What an endpoint announces; `None` if it is not in the list.
+    pub fn info(&self, id: &str) -> Option<&EndpointInfo> {
+        self.endpoints.get(id).map(|it| &it.info)
+    }
+
     /// Names of all endpoints.
     pub fn ids(&self) -> impl Iterator<Item = &Name> {
         self.endpoints.keys()
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -47,12 +47,10 @@
 ) {
     match failure {
         Failure::Broke => {
-            gateway.suspects().record_interrupted(
-                endpoint,
-                request.fingerprints(),
-                clock::now_ms(),
-                clock::unix_ms(),
-            );
+            let Some(process) = serving_process(gateway, endpoint) else { return };
+            let (now_ms, unix_ms) = (clock::now_ms(), clock::unix_ms());
+            let request = request.fingerprints();
+            gateway.suspects().record_interrupted(&process, request, now_ms, unix_ms);
         }
         Failure::Unreachable => record_endpoint_lost(gateway, endpoint),
         Failure::Refused
@@ -63,10 +61,11 @@
     }
 }
 
-/// Records that an endpoint is gone, which counts against the requests that broke off there
-/// shortly before.
+/// Records that an endpoint's process is gone, which counts against the requests that broke off
+/// there shortly before. Call it while the list still has the endpoint.
 pub(crate) fn record_endpoint_lost(gateway: &Gateway, endpoint: &Name) {
-    let loss = gateway.suspects().record_endpoint_loss(endpoint, clock::now_ms());
+    let Some(process) = serving_process(gateway, endpoint) else { return };
+    let loss = gateway.suspects().record_endpoint_loss(&process, clock::now_ms());
     if loss.interrupted > 0 {
         tracing::info!(
             %endpoint,
@@ -77,6 +76,13 @@
     }
 }
 
+/// Names the endpoint whose end would be a crash. `None` if the endpoint left the list or is about to stop: its end is no crash.
+fn serving_process(gateway: &Gateway, endpoint: &Name) -> Option<Name> {
+    let balancer = gateway.balancer();
+    balancer.info(endpoint).filter(|it| !it.leaving)?;
+    Some(endpoint.clone())
+}
+
 /// Records that a request ran to completion.
 pub(crate) fn record_success(gateway: &Gateway, request: &Request) {
     let mut suspects = gateway.suspects();
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -220,11 +220,11 @@
 }
 
 fn remove_endpoint(gateway: &Arc<Gateway>, key: &Name) {
+    suspects::record_endpoint_lost(gateway, key);
     if gateway.balancer().remove(key) {
         tracing::info!(endpoint = %key, "endpoint gone");
     }
     gateway.pool.close_endpoint(key);
-    suspects::record_endpoint_lost(gateway, key);
 }
 
 fn apply_configuration(gateway: &Arc<Gateway>, decoders: &Decoders, key: &Name, value: &Bytes) {
