Count each crash of an endpoint that restarts under its name

Endpoints may start again under the id that they had. With two such servers, requests with a crashing part reached them without end (6 more of 6 after the fifth crash).

Cause: losses were counted by the endpoint's name, and a restart under the same name, which only changes the time of start in the entry, was no loss. Change: losses are counted by name and time of start, and an entry with another time of start ends the process before.

--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -76,11 +76,12 @@
     }
 }
 
-/// Names the endpoint whose end would be a crash. `None` if the endpoint left the list or is about to stop: its end is no crash.
+/// Names the running process of an endpoint, which may start again under the endpoint's name.
+/// `None` if the endpoint left the list or is about to stop: its end is no crash.
 fn serving_process(gateway: &Gateway, endpoint: &Name) -> Option<Name> {
     let balancer = gateway.balancer();
-    balancer.info(endpoint).filter(|it| !it.leaving)?;
-    Some(endpoint.clone())
+    let info = balancer.info(endpoint).filter(|it| !it.leaving)?;
+    Some(Name::from(format!("{endpoint}@{}", info.incarnation)))
 }
 
 /// Records that a request ran to completion.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -170,6 +170,9 @@
             Ok(entry) => {
                 let info = endpoint_info(gateway, key, entry);
                 let (leaving, service) = (info.leaving, info.service.clone());
+                if has_restarted(gateway, &info) {
+                    suspects::record_endpoint_lost(gateway, key);
+                }
                 let changed = gateway.balancer().upsert(info);
                 match report {
                     ChangeReport::Each if changed => {
@@ -219,6 +222,11 @@
     }
 }
 
+/// Whether the process that an endpoint announces is another one than before.
+fn has_restarted(gateway: &Gateway, info: &EndpointInfo) -> bool {
+    gateway.balancer().info(&info.id).is_some_and(|it| it.incarnation != info.incarnation)
+}
+
 fn remove_endpoint(gateway: &Arc<Gateway>, key: &Name) {
     suspects::record_endpoint_lost(gateway, key);
     if gateway.balancer().remove(key) {
