Send suspects again to an instance that restarted or is far behind

An instance could go on without the suspects that its peers know, and send requests that crash servers.

Cause: positions in a peer's update log were compared by number only. After a restart the new log may already be longer than the old position, so that its first entries were skipped and this instance's own were not sent again. A peer behind the 512 entries kept got the newest, which may all be bystanders.

Change: a position names its log by the start of the process; a position in another log is the beginning. A peer that is behind gets the most suspected. The messages between instances change; mixed versions do not understand each other's reports.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -4,7 +4,7 @@
 //! tried again by one instance at a time; if it completes it is cleared, and once it has taken down
 //! enough endpoints it is quarantined. Instances exchange what they find.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -236,6 +236,13 @@
         self.suspicions.keys().copied()
     }
 
+    /// The suspects with the most losses, at most `limit`.
+    pub fn most_suspected(&self, limit: usize) -> Vec<Fingerprint> {
+        let mut suspects: Vec<(&Fingerprint, &Suspicion)> = self.suspicions.iter().collect();
+        suspects.sort_by_key(|(_, it)| Reverse(it.evidence()));
+        suspects.into_iter().take(limit).map(|(key, _)| *key).collect()
+    }
+
     /// Number of distinct endpoints lost at which a request is quarantined.
     pub fn loss_limit(&self) -> usize {
         self.settings.loss_limit
@@ -310,10 +317,8 @@
     }
 
     fn evict_least_suspected(&mut self) {
-        let evidence =
-            |it: &Suspicion| (it.losses_after(0).count(), it.losses.values().max().copied());
-        let weakest =
-            self.suspicions.iter().min_by_key(|(_, it)| evidence(it)).map(|(key, _)| *key);
+        let weakest = self.suspicions.iter().min_by_key(|(_, it)| it.evidence());
+        let weakest = weakest.map(|(key, _)| *key);
         if let Some(key) = weakest {
             self.suspicions.swap_remove(&key);
         }
@@ -356,6 +361,11 @@
         losses.filter(move |(_, at_ms)| *at_ms > since_ms)
     }
 
+    /// Number of losses that were not cleared, and the time of the latest; more is stronger.
+    fn evidence(&self) -> (usize, Option<u64>) {
+        (self.losses_after(0).count(), self.losses.values().max().copied())
+    }
+
     /// Endpoints whose loss after `since_ms` counts.
     fn counted_losses(&self, since_ms: u64) -> Vec<Name> {
         self.losses_after(since_ms).map(|(endpoint, _)| endpoint.clone()).collect()
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -12,7 +12,7 @@
     Name,
     crash_attribution::{RequestFingerprints, blamed_part},
     quarantine::{Fingerprint, Quarantine, QuarantineSettings, Suspicion},
-    update_log::UpdateLog,
+    update_log::{LogPosition, UpdateLog},
 };
 
 /// How long after an interruption the loss of the endpoint is attributed to the request, in
@@ -20,7 +20,7 @@
 const INTERRUPTION_MAX_AGE_MS: u64 = 6_000;
 /// Maximum number of interruptions kept; beyond it the oldest are dropped.
 const MAX_INTERRUPTIONS: usize = 1_024;
-/// Maximum number of updates kept for peers; a peer that is further behind misses older ones.
+/// Maximum number of updates kept for peers, and of suspects in one message.
 const MAX_UPDATES: usize = 512;
 
 /// The suspected requests and prompt parts, and the interruptions that may add to them.
@@ -77,16 +77,16 @@
     /// Suspects whose suspicion changed.
     pub suspects: Vec<Suspect>,
     /// Position from which to ask for further updates.
-    pub next: u64,
+    pub next: LogPosition,
 }
 
 impl Suspects {
-    /// Starts without suspects.
-    pub fn new(instance: Name, settings: QuarantineSettings) -> Suspects {
+    /// Starts without suspects. `log` identifies this process's updates and is not 0.
+    pub fn new(instance: Name, settings: QuarantineSettings, log: u64) -> Suspects {
         Suspects {
             quarantine: Quarantine::new(instance, settings),
             interruptions: VecDeque::new(),
-            updates: UpdateLog::new(MAX_UPDATES),
+            updates: UpdateLog::new(log, MAX_UPDATES),
         }
     }
 
@@ -159,11 +159,18 @@
         self.record_updates();
     }
 
-    /// The updates from `position` on, for a peer that received those before it.
-    pub fn updates_since(&self, position: u64) -> SuspectUpdates {
-        let mut changed: Vec<Fingerprint> = self.updates.since(position).copied().collect();
-        changed.sort_unstable();
-        changed.dedup();
+    /// The updates from `position` on, for a peer that received those before it. A peer that is too
+    /// far behind gets the most suspected instead.
+    pub fn updates_since(&self, position: LogPosition) -> SuspectUpdates {
+        let changed = match self.updates.since(position) {
+            Some(updates) => {
+                let mut changed: Vec<Fingerprint> = updates.copied().collect();
+                changed.sort_unstable();
+                changed.dedup();
+                changed
+            }
+            None => self.quarantine.most_suspected(MAX_UPDATES),
+        };
         let suspect = |fingerprint: Fingerprint| {
             let suspicion = self.quarantine.suspicion_of(fingerprint)?.clone();
             Some(Suspect { fingerprint, suspicion })
--- a/crates/core/src/update_log.rs
+++ b/crates/core/src/update_log.rs
@@ -2,20 +2,33 @@
 
 use std::collections::VecDeque;
 
+use serde::{Deserialize, Serialize};
+
 /// The most recent updates, oldest first. Readers address them by their position since the start.
 #[derive(Clone, Debug)]
 pub struct UpdateLog<T> {
+    /// Identifies the log; that of another process has another id.
+    id: u64,
     entries: VecDeque<T>,
     /// Number of entries that were dropped from the front.
     dropped: u64,
-    /// Most entries to keep; a reader that is further behind misses the dropped ones.
+    /// Most entries to keep.
     limit: usize,
 }
 
+/// A position in the update log of a process. The default is a position in no log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogPosition {
+    /// Id of the log; 0 if none has been read.
+    pub log: u64,
+    /// Number of entries before the position.
+    pub offset: u64,
+}
+
 impl<T> UpdateLog<T> {
-    /// Creates an empty log that keeps at most `limit` entries.
-    pub fn new(limit: usize) -> UpdateLog<T> {
-        UpdateLog { entries: VecDeque::new(), dropped: 0, limit }
+    /// Creates an empty log that keeps at most `limit` entries. `id` is not 0.
+    pub fn new(id: u64, limit: usize) -> UpdateLog<T> {
+        UpdateLog { id, entries: VecDeque::new(), dropped: 0, limit }
     }
 
     /// Appends entries, and drops the oldest beyond the limit.
@@ -27,16 +40,17 @@
     }
 
     /// Position after the last entry.
-    pub fn end(&self) -> u64 {
-        self.dropped + self.entries.len() as u64
+    pub fn end(&self) -> LogPosition {
+        LogPosition { log: self.id, offset: self.dropped + self.entries.len() as u64 }
     }
 
-    /// Entries from a position on, as far as they are kept.
-    pub fn since(&self, position: u64) -> impl Iterator<Item = &T> {
-        // A position beyond the end is from before a restart of this instance.
-        let position = if position > self.end() { 0 } else { position };
-        let skipped = usize::try_from(position.saturating_sub(self.dropped)).unwrap_or(usize::MAX);
-        self.entries.iter().skip(skipped)
+    /// Entries from a position on; from the first one if the position is in another log. `None` if
+    /// some of them were dropped.
+    pub fn since(&self, position: LogPosition) -> Option<impl Iterator<Item = &T>> {
+        let offset = if position.log == self.id { position.offset } else { 0 };
+        let skipped = offset.checked_sub(self.dropped)?;
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+        Some(self.entries.iter().skip(skipped))
     }
 }
 
@@ -44,17 +58,19 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SyncCursors {
     /// Position in this instance's log up to which the peer has read.
-    pub acked_by_peer: u64,
+    pub acked_by_peer: LogPosition,
     /// Position in the peer's log up to which this instance has read.
-    pub received_from_peer: u64,
+    pub received_from_peer: LogPosition,
 }
 
 impl SyncCursors {
-    /// Cursors after an exchange in which the peer received everything up to `sent_to`, and its own
-    /// log ended at `peer_end`.
-    pub fn advance(self, sent_to: u64, peer_end: u64) -> SyncCursors {
-        // A peer whose log became shorter has restarted and lost what it had received.
-        let acked_by_peer = if peer_end < self.received_from_peer { 0 } else { sent_to };
+    /// Cursors after an exchange in which the peer received everything from `acked_by_peer` up to
+    /// `sent_to`, and its own log ended at `peer_end`.
+    pub fn advance(self, sent_to: LogPosition, peer_end: LogPosition) -> SyncCursors {
+        let known = self.received_from_peer;
+        // A peer with another log has restarted and lost what it had received.
+        let has_restarted = known != LogPosition::default() && known.log != peer_end.log;
+        let acked_by_peer = if has_restarted { LogPosition::default() } else { sent_to };
         SyncCursors { acked_by_peer, received_from_peer: peer_end }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,7 +46,9 @@
     /// State without configuration and endpoints.
     pub(crate) fn new(settings: Settings, header_names: HeaderNames) -> Gateway {
         let balancer = Balancer::new(settings.balance());
-        let suspects = Suspects::new(settings.instance.clone(), suspects::settings());
+        // The time of start tells this process's updates from those of the one before.
+        let update_log = clock::unix_ms().max(1);
+        let suspects = Suspects::new(settings.instance.clone(), suspects::settings(), update_log);
         let budgets = RetryBudgets::new(settings.budget(), ASSUMED_INSTANCES, clock::now_ms());
         Gateway {
             header_names,
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -8,6 +8,7 @@
     compacted_log::Record,
     load_reports::EndpointLoad,
     suspects::{Suspect, SuspectUpdates},
+    update_log::LogPosition,
 };
 
 /// Role of an instance that sends a report.
@@ -39,7 +40,7 @@
     /// Suspects that the receiver has not received yet.
     pub(crate) suspects: Vec<Suspect>,
     /// Up to where the sender has received the receiver's suspects.
-    pub(crate) suspects_received: u64,
+    pub(crate) suspects_received: LogPosition,
 }
 
 /// Offsets up to which an instance knows the store's topics; 0 if it has not read them.
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -11,6 +11,7 @@
     load_reports::{self, EndpointLoad},
     roster::Peer,
     store_reads::reports_to_zone,
+    update_log::LogPosition,
 };
 use tokio::{
     task::JoinSet,
@@ -48,7 +49,7 @@
 struct Report {
     request: SyncRequest,
     /// Up to where the receiver has this instance's suspects once it gets the report.
-    suspects_sent: u64,
+    suspects_sent: LogPosition,
 }
 
 /// A peer's response to a report.
