--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -17,6 +17,7 @@
     Name,
     demand::Demand,
     endpoint::{Distance, Endpoint, EndpointInfo, ServerLoad},
+    endpoint_limits::EndpointLimits,
     health::{Health, HealthState},
     load_reports::{EndpointLoad, Load, endpoint_hash},
     part_popularity::PartPopularity,
@@ -150,13 +151,22 @@
     popularity: HashMap<Name, PartPopularity>,
     /// When peers last reported their loads; `None` before the first report.
     peer_loads_ms: Option<u64>,
+    /// Limits that endpoints named.
+    limits: EndpointLimits,
 }
 
 impl Balancer {
     /// Creates a balancer without endpoints.
     pub fn new(settings: BalanceSettings) -> Balancer {
-        let (endpoints, demand, peer_demand, popularity) = Default::default();
-        Balancer { settings, endpoints, demand, peer_demand, popularity, peer_loads_ms: None }
+        Balancer {
+            settings,
+            endpoints: IndexMap::new(),
+            demand: HashMap::new(),
+            peer_demand: HashMap::new(),
+            popularity: HashMap::new(),
+            peer_loads_ms: None,
+            limits: EndpointLimits::default(),
+        }
     }
 
     /// Requests of this instance in progress by endpoint, and its demand by service.
@@ -262,6 +272,16 @@
         self.endpoints.get(id).map(|it| &it.info)
     }
 
+    /// Limits that endpoints named.
+    pub fn limits(&self) -> &EndpointLimits {
+        &self.limits
+    }
+
+    /// Limits that endpoints named, to update them.
+    pub fn limits_mut(&mut self) -> &mut EndpointLimits {
+        &mut self.limits
+    }
+
     /// Names of all endpoints.
     pub fn ids(&self) -> impl Iterator<Item = &Name> {
         self.endpoints.keys()
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod document;
 pub mod edit;
 pub mod endpoint;
+pub mod endpoint_limits;
 pub mod endpoint_performance;
 pub mod endpoint_pool;
 pub mod fact;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
+    StatusCode,
     body::Incoming,
     header::{CONTENT_LENGTH, HeaderValue},
     http::response,
@@ -219,6 +220,7 @@
     attempt.connection = Some(connection);
     let (head, body) = response.into_parts();
     attempt.record_connection_headers(&head);
+    record_limit(gateway, &attempt.chosen.id, &head);
     match upstream_response::validate(&head, request, &gateway.header_names) {
         Ok(()) => Ok((head, body)),
         Err(failure) => {
@@ -232,6 +234,19 @@
     }
 }
 
+/// Records the limit that the endpoint named in a response, or that it named none. A response of
+/// another endpoint that took over the address says nothing about it.
+fn record_limit(gateway: &Gateway, endpoint: &Name, head: &response::Parts) {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let limit =
+        upstream_response::request_limit(&head.headers, &gateway.header_names.request_limit);
+    if gateway.balancer().limits_mut().record_response(endpoint, limit) {
+        tracing::info!(%endpoint, requests_per_s = limit, "endpoint changed its limit");
+    }
+}
+
 async fn connect(gateway: &Gateway, attempt: &Attempt) -> Result<Connection, Failure> {
     gateway.pool.connect(attempt.chosen.address).await.map_err(|_| Failure::Unreachable)
 }
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -24,6 +24,9 @@
     pub not_run: HeaderName,
     /// Load of the endpoint as comma-separated numbers: running requests, waiting requests, slots.
     pub load: HeaderName,
+    /// Requests per second that an endpoint in need takes from all instances together, as a decimal
+    /// number; absent while the endpoint has no limit.
+    pub request_limit: HeaderName,
     /// Id of the last stream event that was delivered, for resuming a stream.
     pub last_event_id: HeaderName,
     /// Headers that are removed from callers' requests.
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -57,6 +57,7 @@
     let now_ms = clock::now_ms();
     let (counts, peer_loads_age_ms) = {
         let balancer = gateway.balancer();
+        gauge!("tanagergauge_endpoint_limits").set(as_f64(balancer.limits().len()));
         (balancer.endpoint_counts(now_ms), balancer.peer_loads_age_ms(now_ms))
     };
     gauge!("tanagergauge_others_age_seconds")
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -68,6 +68,12 @@
     Some(ServerLoad { running: values.next()??, waiting: values.next()?? })
 }
 
+/// Requests per second that the endpoint takes from all instances, if it named a limit.
+pub(crate) fn request_limit(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
+    let limit: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
+    (limit.is_finite() && limit >= 0.0).then_some(limit)
+}
+
 /// Whether the endpoint closes the connection after the response.
 pub(crate) fn closes_connection(headers: &HeaderMap) -> bool {
     headers.get(CONNECTION).is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"))
