Keep the limits that endpoints name, across all instances

Class: what an endpoint says of itself changes nothing here, and what one instance learns of an endpoint stays there.

Change: instances tell each other of limits with their reports; the newest response decides. They divide a limit without a message: time is divided into tokens, as many a second as the limit, a hash over the sorted instances says who owns each, and a token is usable for one second, so that no number of instances can save up requests (in 4 s at most five times the limit a second and one, six times and five are allowed). An endpoint without a token is passed over; if all have limits the request is refused as not run, reason endpoint_limit. A limit ends with the first success that does not name it, or when no response has confirmed it for 8 s.

Nine tests of the core, fleets of 1 to 300 instances.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -17,7 +17,7 @@
     Name,
     demand::Demand,
     endpoint::{Distance, Endpoint, EndpointInfo, ServerLoad},
-    endpoint_limits::EndpointLimits,
+    endpoint_limits::{EndpointLimits, Permission},
     health::{Health, HealthState},
     load_reports::{EndpointLoad, Load, endpoint_hash},
     part_popularity::PartPopularity,
@@ -80,6 +80,8 @@
     pub may_probe: bool,
     /// Uniform random number that breaks ties.
     pub random: u64,
+    /// Unix time in milliseconds, by which instances divide the limits that endpoints named.
+    pub unix_ms: u64,
 }
 
 /// An endpoint that was selected for a request.
@@ -95,6 +97,8 @@
     pub prefill_tokens: u32,
     /// Copied from [`EndpointQuery::latency_sensitive`].
     pub latency_sensitive: bool,
+    /// Token of the endpoint's limit that the request uses; `None` if there is no limit.
+    pub limit_token_ms: Option<u64>,
     /// The figures behind the selection, for the log.
     pub estimate: EndpointEstimate,
 }
@@ -136,6 +140,8 @@
     NoneServing,
     /// All endpoints are paused or were tried.
     Exhausted,
+    /// The endpoints that are left have named limits, and this instance's share is used up.
+    Limited,
 }
 
 /// State of all endpoints, and the selection among them.
@@ -331,17 +337,25 @@
                 NoEndpoint::Exhausted
             });
         }
+        let permitted: Vec<&Endpoint> = untried
+            .iter()
+            .filter(|it| self.limits.permission(&it.info.id, query.unix_ms) != Permission::Wait)
+            .copied()
+            .collect();
+        if permitted.is_empty() {
+            return Err(NoEndpoint::Limited);
+        }
         let allowed = |it: &&&Endpoint| match it.health.state(now_ms) {
             HealthState::Good => true,
             HealthState::Probation => it.running == 0 && query.may_probe,
             HealthState::Paused => false,
         };
-        let healthy: Vec<&Endpoint> = untried.iter().filter(allowed).copied().collect();
+        let healthy: Vec<&Endpoint> = permitted.iter().filter(allowed).copied().collect();
         // A request that may not run twice still has to go somewhere: if only endpoints on
         // probation are left, the restrictions above are dropped.
         let unpaused = |it: &&&Endpoint| it.health.state(now_ms) != HealthState::Paused;
         let candidates = if healthy.is_empty() {
-            untried.iter().filter(unpaused).copied().collect()
+            permitted.iter().filter(unpaused).copied().collect()
         } else {
             healthy
         };
@@ -443,11 +457,19 @@
             expected_ms,
             prefill_tokens,
             latency_sensitive,
+            limit_token_ms: self.limit_token_ms(it, query),
             estimate,
         };
         Cost { total_ms, selected }
     }
 
+    fn limit_token_ms(&self, it: &Endpoint, query: &EndpointQuery<'_>) -> Option<u64> {
+        match self.limits.permission(&it.info.id, query.unix_ms) {
+            Permission::Token(token_ms) => Some(token_ms),
+            Permission::Unlimited | Permission::Wait => None,
+        }
+    }
+
     fn estimate(&self, it: &Endpoint, reserved_share: f64, now_ms: u64) -> EndpointEstimate {
         let (peer_running, peer_prefill_tokens) = self.peer_load(it, now_ms);
         EndpointEstimate {
@@ -500,6 +522,9 @@
     /// Records that a request was sent to the selected endpoint.
     pub fn record_sent(&mut self, selected: &SelectedEndpoint, parts: &[PromptPart], now_ms: u64) {
         let Some(it) = self.endpoints.get_mut(&selected.id) else { return };
+        if let Some(token_ms) = selected.limit_token_ms {
+            self.limits.record_used(&selected.id, token_ms);
+        }
         if !parts.is_empty() {
             if let Some(part) = prompt_part::shared_part(parts) {
                 let popularity = self.popularity.entry(it.info.service.clone()).or_default();
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -106,6 +106,8 @@
     OverShare,
     /// No endpoint serves the model or service.
     NoEndpoint,
+    /// All endpoints have named limits, which are used up.
+    EndpointLimit,
     /// The endpoint refused the request before executing it.
     EndpointRefused,
     /// The connection to the endpoint could not be opened.
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use crate::{Name, load_reports::name_hash};
+use crate::{Name, endpoint_limits::FleetPosition, load_reports::name_hash};
 
 /// Length of the first pause after an instance did not respond, in milliseconds; it doubles with
 /// each further failure.
@@ -99,6 +99,13 @@
         self.by_name.values().filter(|it| &*it.peer.zone == zone).count()
     }
 
+    /// Place of an instance in the order of the names of all, which includes its own.
+    pub fn position(&self, name: &str) -> FleetPosition {
+        let rank = self.by_name.keys().filter(|it| ***it < *name).count();
+        let is_listed = self.by_name.contains_key(name);
+        FleetPosition { rank, instances: self.by_name.len() + usize::from(!is_listed) }
+    }
+
     /// Number of known instances, paused ones included.
     pub fn len(&self) -> usize {
         self.by_name.len()
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -33,7 +33,15 @@
 };
 
 fn query<'a>(service: &'a Name, parts: &'a [PromptPart], tried: &'a [Name]) -> EndpointQuery<'a> {
-    EndpointQuery { service, parts, tried, latency_sensitive: false, may_probe: false, random: 7 }
+    EndpointQuery {
+        service,
+        parts,
+        tried,
+        latency_sensitive: false,
+        may_probe: false,
+        random: 7,
+        unix_ms: 0,
+    }
 }
 
 fn balancer(count: usize) -> Balancer {
--- /dev/null
+++ b/crates/core/tests/endpoint_limits.rs
@@ -0,0 +1,126 @@
+//! Instances share the limits that endpoints name, without exceeding them.
+
+use tanagergauge_core::{
+    Name,
+    endpoint_limits::{EndpointLimits, FleetPosition, LimitUpdate, Permission},
+};
+
+/// A moment as Unix time; monotonic times in these tests are the same.
+const NOW_MS: u64 = 1_790_000_000_000;
+const ENDPOINT: &str = "engine-7";
+
+fn fleet(instances: usize, limit_per_s: f64) -> Vec<EndpointLimits> {
+    let limits = |rank| {
+        let mut limits = EndpointLimits::default();
+        limits.set_position(FleetPosition { rank, instances });
+        limits.record_response(&Name::from(ENDPOINT), Some(limit_per_s), NOW_MS, NOW_MS);
+        limits
+    };
+    (0..instances).map(limits).collect()
+}
+
+/// Sends whenever it is permitted, each instance every `interval_ms`; returns the times.
+fn send_all(fleet: &mut [EndpointLimits], interval_ms: u64, duration_ms: u64) -> Vec<u64> {
+    let mut sent_ms = Vec::new();
+    for now_ms in (NOW_MS..NOW_MS + duration_ms).step_by(10) {
+        for (rank, it) in fleet.iter_mut().enumerate() {
+            let offset_ms = rank as u64 * 10 % interval_ms;
+            if (now_ms - NOW_MS) % interval_ms != offset_ms {
+                continue;
+            }
+            match it.permission(ENDPOINT, now_ms) {
+                Permission::Token(token_ms) => {
+                    it.record_used(ENDPOINT, token_ms);
+                    sent_ms.push(now_ms);
+                }
+                Permission::Unlimited => sent_ms.push(now_ms),
+                Permission::Wait => {}
+            }
+        }
+    }
+    sent_ms
+}
+
+/// Largest number of times within `length_ms`.
+fn most_within(times_ms: &[u64], length_ms: u64) -> usize {
+    let within =
+        |begin: &u64| times_ms.iter().filter(|it| (*begin..begin + length_ms).contains(it)).count();
+    times_ms.iter().map(within).max().unwrap_or(0)
+}
+
+/// Each test has a fleet of another size, whose instances send to the endpoint at another rate
+/// than its limit allows.
+macro_rules! limited_fleets {
+    ($($name:ident: $instances:literal instances, every $interval_ms:literal ms, $limit_per_s:literal per s => at least $least:literal in 60 s;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fleet = fleet($instances, $limit_per_s);
+            let sent_ms = send_all(&mut fleet, $interval_ms, 60_000);
+            // What the platform allows in 4 s.
+            let allowed = 1.5 * 4.0 * $limit_per_s + 5.0;
+            let most = most_within(&sent_ms, 4_000);
+            assert!(most as f64 <= allowed, "{most} in 4 s, {allowed} allowed");
+            assert!(sent_ms.len() >= $least, "{} sent", sent_ms.len());
+        }
+    )*};
+}
+
+limited_fleets! {
+    a_small_fleet_uses_a_small_limit: 6 instances, every 70 ms, 1.6 per s => at least 86 in 60 s;
+    one_instance_uses_the_whole_limit: 1 instances, every 100 ms, 1.5 per s => at least 80 in 60 s;
+    a_large_fleet_keeps_a_small_limit: 300 instances, every 300 ms, 1.5 per s => at least 80 in 60 s;
+    a_large_limit_is_used: 6 instances, every 100 ms, 40.0 per s => at least 2_000 in 60 s;
+    a_limit_above_the_demand_is_none: 6 instances, every 1000 ms, 60.0 per s => at least 340 in 60 s;
+}
+
+/// After a long silence no instance has saved up requests.
+#[test]
+fn tokens_are_not_saved_up() {
+    let mut fleet = fleet(300, 1.5);
+    let sent_ms = send_all(&mut fleet, 100, 100);
+    assert!(sent_ms.len() <= 2, "{} sent", sent_ms.len());
+}
+
+#[test]
+fn a_limit_of_zero_permits_nothing() {
+    let mut fleet = fleet(2, 0.0);
+    assert!(send_all(&mut fleet, 100, 10_000).is_empty());
+}
+
+fn permits(limits: &EndpointLimits) -> bool {
+    limits.permission(ENDPOINT, NOW_MS) == Permission::Unlimited
+}
+
+#[test]
+fn the_newest_response_decides_at_all_instances() {
+    let endpoint = Name::from(ENDPOINT);
+    let [mut a, mut b] = [EndpointLimits::default(), EndpointLimits::default()];
+    assert!(a.record_response(&endpoint, Some(2.0), NOW_MS, NOW_MS));
+    b.merge(a.updates(NOW_MS), NOW_MS);
+    assert_eq!(b.len(), 1);
+    let old = a.updates(NOW_MS);
+    // The clock of the second instance is behind.
+    assert!(b.record_response(&endpoint, None, NOW_MS + 100, NOW_MS - 5_000));
+    a.merge(b.updates(NOW_MS + 100), NOW_MS + 100);
+    assert!(permits(&a) && permits(&b));
+    b.merge(old, NOW_MS + 200);
+    assert!(permits(&b), "an old update was applied");
+}
+
+#[test]
+fn updates_are_sent_for_a_while_and_limits_expire() {
+    let endpoint = Name::from(ENDPOINT);
+    let mut limits = EndpointLimits::default();
+    assert!(!limits.record_response(&endpoint, None, NOW_MS, NOW_MS));
+    assert!(limits.updates(NOW_MS).is_empty());
+    limits.record_response(&endpoint, Some(2.0), NOW_MS, NOW_MS);
+    assert!(!limits.record_response(&endpoint, Some(2.0), NOW_MS + 10, NOW_MS + 10));
+    let version = NOW_MS;
+    let update = LimitUpdate { endpoint, requests_per_s: Some(2.0), version };
+    assert_eq!(limits.updates(NOW_MS + 1_000), [update]);
+    assert!(limits.updates(NOW_MS + 2_000).is_empty());
+    limits.expire(NOW_MS + 7_000);
+    assert_eq!(limits.len(), 1);
+    limits.expire(NOW_MS + 9_000);
+    assert!(limits.is_empty());
+}
--- a/crates/core/tests/replay/mod.rs
+++ b/crates/core/tests/replay/mod.rs
@@ -220,6 +220,7 @@
             latency_sensitive: arrival.latency_sensitive,
             may_probe: false,
             random: arrival.random,
+            unix_ms: now_ms,
         };
         let selected = run.balancers[arrival.instance].choose(&query, now_ms).expect("an engine");
         let selected = self.select(&run.engines, &run.sent, &run.events, arrival, selected);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -234,15 +234,18 @@
     }
 }
 
-/// Records the limit that the endpoint named in a response, or that it named none. A response of
-/// another endpoint that took over the address says nothing about it.
+/// Records the limit that the endpoint named in a response, or that it named none. Refusals and
+/// errors need not name it, and a misdirected request was answered by another endpoint.
 fn record_limit(gateway: &Gateway, endpoint: &Name, head: &response::Parts) {
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return;
-    }
     let limit =
         upstream_response::request_limit(&head.headers, &gateway.header_names.request_limit);
-    if gateway.balancer().limits_mut().record_response(endpoint, limit) {
+    let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    if is_misdirected || (limit.is_none() && !head.status.is_success()) {
+        return;
+    }
+    let (now_ms, unix_ms) = (clock::now_ms(), clock::unix_ms());
+    let changed = gateway.balancer().limits_mut().record_response(endpoint, limit, now_ms, unix_ms);
+    if changed {
         tracing::info!(%endpoint, requests_per_s = limit, "endpoint changed its limit");
     }
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -6,6 +6,7 @@
 use tanagergauge_core::{
     Name,
     compacted_log::Record,
+    endpoint_limits::LimitUpdate,
     load_reports::EndpointLoad,
     suspects::{Suspect, SuspectUpdates},
     update_log::LogPosition,
@@ -41,6 +42,8 @@
     pub(crate) suspects: Vec<Suspect>,
     /// Up to where the sender has received the receiver's suspects.
     pub(crate) suspects_received: LogPosition,
+    /// Limits that endpoints named recently.
+    pub(crate) limits: Vec<LimitUpdate>,
 }
 
 /// Offsets up to which an instance knows the store's topics; 0 if it has not read them.
@@ -69,4 +72,6 @@
     pub(crate) age_ms: u64,
     /// Suspects that the sender has not received yet.
     pub(crate) suspects: SuspectUpdates,
+    /// Limits that endpoints named recently.
+    pub(crate) limits: Vec<LimitUpdate>,
 }
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -34,7 +34,11 @@
     let peers = &gateway.peers;
     let SyncRequest { sender, instance, zone, control, loads, instances, known, .. } = report;
     peers.roster().record_contact(Peer { name: instance.clone(), zone: zone.clone(), control });
-    let local = gateway.balancer().local_loads();
+    let (local, limits) = {
+        let mut balancer = gateway.balancer();
+        balancer.limits_mut().merge(report.limits, now_ms);
+        (balancer.local_loads(), balancer.limits().updates(now_ms))
+    };
     let (loads, instances) = {
         let mut reports = peers.reports();
         match sender {
@@ -72,5 +76,6 @@
         endpoints_are_all: catch_up.is_complete,
         age_ms: age_ms.unwrap_or(u64::MAX),
         suspects,
+        limits,
     }
 }
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tanagergauge_core::{
     Name,
+    endpoint_limits::FleetPosition,
     load_reports::{self, EndpointLoad},
     roster::Peer,
     store_reads::reports_to_zone,
@@ -89,7 +90,9 @@
     let gateway = follower.gateway();
     let (hub, members, zones) = {
         let roster = gateway.peers.roster();
-        let hub = roster.hub(&local.zone, &local.name, clock::now_ms()).cloned();
+        let now_ms = clock::now_ms();
+        let hub = roster.hub(&local.zone, &local.name, now_ms).cloned();
+        update_limits(gateway, roster.position(&local.name), now_ms);
         (hub, roster.member_count(&local.zone), roster.zones().len())
     };
     match hub {
@@ -106,6 +109,14 @@
     }
 }
 
+/// Updates by whom limits of endpoints are shared, and drops those that are not in force any more.
+fn update_limits(gateway: &Gateway, position: FleetPosition, now_ms: u64) {
+    let mut balancer = gateway.balancer();
+    let limits = balancer.limits_mut();
+    limits.set_position(position);
+    limits.expire(now_ms);
+}
+
 fn local_peer(gateway: &Gateway) -> Peer {
     let settings = &gateway.settings;
     Peer {
@@ -184,7 +195,7 @@
     let report = build_report(follower, &hub.name, SenderRole::Member, loads, instances);
     match exchange(gateway, &hub.name, hub.control, &report.request, ZONE_TIMEOUT).await {
         Some(Exchange { mut response, bytes }) => {
-            apply_suspects(gateway, &hub.name, &report, &mut response);
+            apply_findings(gateway, &hub.name, &report, &mut response);
             gateway.peers.roster().record_success(&hub.name);
             gateway.peers.record_hub_response(response.age_ms, members);
             gateway.balancer().set_peer_loads(&response.loads, clock::now_ms());
@@ -239,7 +250,7 @@
     let report = build_report(&follower, &hub.name, SenderRole::Hub, loads, instances);
     match exchange(gateway, &hub.name, hub.control, &report.request, CROSS_ZONE_TIMEOUT).await {
         Some(Exchange { mut response, bytes }) => {
-            apply_suspects(gateway, &hub.name, &report, &mut response);
+            apply_findings(gateway, &hub.name, &report, &mut response);
             gateway.peers.roster().record_success(&hub.name);
             let loads = std::mem::take(&mut response.loads);
             let mut reports = gateway.peers.reports();
@@ -267,7 +278,7 @@
         let report = build_report(follower, &name, SenderRole::Member, Vec::new(), 1);
         let exchanged = exchange(gateway, &name, seed, &report.request, ZONE_TIMEOUT).await;
         if let Some(Exchange { mut response, .. }) = exchanged {
-            apply_suspects(gateway, &name, &report, &mut response);
+            apply_findings(gateway, &name, &report, &mut response);
             apply_records(follower, response);
         }
         if gateway.is_initialized() {
@@ -300,12 +311,15 @@
         has_store: !follower.is_store_lost(),
         suspects: suspects.suspects,
         suspects_received: cursors.received_from_peer,
+        limits: gateway.balancer().limits().updates(clock::now_ms()),
     };
     Report { request, suspects_sent: suspects.next }
 }
 
-/// Applies the suspects in a peer's response and updates the cursors of their exchange.
-fn apply_suspects(gateway: &Gateway, peer: &Name, report: &Report, response: &mut SyncResponse) {
+/// Applies the limits and suspects in a peer's response and updates the cursors of the exchange.
+fn apply_findings(gateway: &Gateway, peer: &Name, report: &Report, response: &mut SyncResponse) {
+    let limits = std::mem::take(&mut response.limits);
+    gateway.balancer().limits_mut().merge(limits, clock::now_ms());
     let updates = std::mem::take(&mut response.suspects);
     let cursors = gateway.peers.suspect_cursors(peer).advance(report.suspects_sent, updates.next);
     gateway.peers.set_suspect_cursors(peer, cursors);
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -172,6 +172,7 @@
         latency_sensitive: request.latency_sensitive,
         may_probe: request.route.retry_safety.allows_resend(),
         random: uniform_hash(&request.id),
+        unix_ms: clock::unix_ms(),
     };
     let chosen = gateway.balancer().choose(&query, clock::now_ms());
     chosen.map_err(|error| match error {
@@ -179,6 +180,9 @@
         NoEndpoint::NoneServing | NoEndpoint::Exhausted => {
             Refusal::not_run(Reason::NoEndpoint).retry_after_ms(SHORT_RETRY_MS)
         }
+        NoEndpoint::Limited => {
+            Refusal::not_run(Reason::EndpointLimit).retry_after_ms(SHORT_RETRY_MS)
+        }
     })
 }
 
