Take a stream that ends inside an event for broken off

Cause: any clean end of the body counted as the end of the stream, and the framer's rest was sent on.

Change: an event stream that ends inside an event is broken off, and so is one that ends with its connection before the first event. Lines may end with LF or CR LF where nothing is resumed.

--- a/crates/core/src/sse_framer.rs
+++ b/crates/core/src/sse_framer.rs
@@ -6,6 +6,9 @@
 /// Maximum size of a buffered incomplete event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Number of line ends in a row that make an empty line, which ends an event.
+const EMPTY_LINE: usize = 2;
+
 /// Passes on complete events only and tracks the id of the last one.
 ///
 /// Events end with an empty line. Only LF is supported as a line end.
@@ -82,6 +85,38 @@
     }
 }
 
+/// Tracks whether the bytes of a stream that is passed on as it arrives end with a complete event.
+/// Lines may end with LF or CR LF.
+#[derive(Clone, Copy, Debug)]
+pub struct EventBoundary {
+    /// Number of line ends since the last other byte, at most 2.
+    line_ends: usize,
+}
+
+impl Default for EventBoundary {
+    fn default() -> EventBoundary {
+        EventBoundary { line_ends: EMPTY_LINE }
+    }
+}
+
+impl EventBoundary {
+    /// Adds bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        let is_line_end = |it: &u8| matches!(it, b'\n' | b'\r');
+        let (before, at_end) = match bytes.iter().rposition(|it| !is_line_end(it)) {
+            Some(last) => (0, &bytes[last + 1..]),
+            None => (self.line_ends, bytes),
+        };
+        let line_ends = at_end.iter().filter(|it| **it == b'\n').count();
+        self.line_ends = (before + line_ends).min(EMPTY_LINE);
+    }
+
+    /// Whether the bytes so far end with a complete event; true before the first byte.
+    pub fn at_event_end(&self) -> bool {
+        self.line_ends == EMPTY_LINE
+    }
+}
+
 /// Number of bytes up to the end of the last complete event.
 fn complete_len(bytes: &[u8]) -> usize {
     bytes.windows(2).rposition(|it| it == b"\n\n").map_or(0, |at| at + 2)
--- a/crates/core/tests/sse_framer.rs
+++ b/crates/core/tests/sse_framer.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use quickcheck::{Gen, QuickCheck};
-use tanagergauge_core::sse_framer::SseFramer;
+use tanagergauge_core::sse_framer::{EventBoundary, SseFramer};
 
 fn event(id: usize) -> String {
     format!("id: {id}\ndata: cue {id}\n\n")
@@ -73,3 +73,28 @@
     framer.push(Bytes::from_static(b"data: x\nid:7\n\n"));
     assert_eq!(framer.last_id().map(|it| &**it), Some(&b"7"[..]));
 }
+
+/// Each test adds pieces of a stream and checks whether they end with a complete event.
+macro_rules! event_boundaries {
+    ($($name:ident: [$($piece:literal),*] => $expected:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut boundary = EventBoundary::default();
+            let pieces: &[&[u8]] = &[$($piece),*];
+            for piece in pieces {
+                boundary.push(piece);
+            }
+            assert_eq!(boundary.at_event_end(), $expected);
+        }
+    )*};
+}
+
+event_boundaries! {
+    an_empty_stream_is_inside_no_event: [] => true;
+    an_empty_line_ends_an_event: [b"id: 1\ndata: a\n\n"] => true;
+    an_empty_line_may_arrive_in_pieces: [b"data: a", b"\n", b"", b"\n"] => true;
+    lines_may_end_with_cr_lf: [b"data: a\r\n\r", b"\n"] => true;
+    a_line_ends_no_event: [b"data: a\n\n", b"id: 2\n"] => false;
+    part_of_a_line_ends_no_event: [b"data: a\n\nda"] => false;
+    a_line_end_after_part_of_a_line_ends_no_event: [b"data: a\n\n", b"da", b"\n"] => false;
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,11 @@
     body::{Body, Incoming},
     header::{CONTENT_TYPE, HeaderValue},
 };
-use tanagergauge_core::{Outcome, Reason, send_history::Failure, sse_framer::SseFramer};
+use tanagergauge_core::{
+    Outcome, Reason,
+    send_history::Failure,
+    sse_framer::{EventBoundary, SseFramer},
+};
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::{
@@ -24,7 +28,7 @@
     progress::RequestProgress,
     request::Request,
     retry::{OpenedResponse, open_response},
-    suspects,
+    suspects, upstream_response,
 };
 
 /// Time without an event after which a resumable stream counts as stalled, as a multiple of the route's
@@ -77,6 +81,10 @@
     first: Option<Bytes>,
     /// Present if the stream can be resumed at another endpoint.
     framer: Option<SseFramer>,
+    /// Whether the body is a stream of events. One that ends inside an event was broken off.
+    is_event_stream: bool,
+    /// Where the bytes that were forwarded end, if the stream cannot be resumed.
+    boundary: EventBoundary,
     /// Content type of the stream; a response that resumes it must have the same.
     content_type: Option<HeaderValue>,
     /// When bytes last became forwardable.
@@ -107,6 +115,8 @@
             state: State::streaming(opened.body, opened.attempt),
             first: Some(opened.first),
             framer,
+            is_event_stream: upstream_response::is_event_stream(&opened.head.headers),
+            boundary: EventBoundary::default(),
             content_type: opened.head.headers.get(CONTENT_TYPE).cloned(),
             last_data: Instant::now(),
             timer: Box::pin(sleep_until(request.deadline)),
@@ -157,6 +167,9 @@
         }
         let State::Streaming(upstream) = &mut self.state else { return Poll::Ready(Step::End) };
         match Pin::new(&mut upstream.body).poll_frame(cx) {
+            Poll::Ready(None) if self.is_inside_event() => {
+                Poll::Ready(Step::Failed(Failure::Broke))
+            }
             Poll::Ready(None) => Poll::Ready(Step::End),
             Poll::Ready(Some(Err(_))) => Poll::Ready(Step::Failed(Failure::Broke)),
             Poll::Ready(Some(Ok(frame))) => {
@@ -215,10 +228,22 @@
     fn forwardable(&mut self, bytes: Bytes) -> Bytes {
         match &mut self.framer {
             Some(framer) => framer.push(bytes),
-            None => bytes,
+            None => {
+                self.boundary.push(&bytes);
+                bytes
+            }
         }
     }
 
+    /// Whether an event has begun and is not complete.
+    fn is_inside_event(&self) -> bool {
+        let at_event_end = match &self.framer {
+            Some(framer) => framer.at_event_end(),
+            None => self.boundary.at_event_end(),
+        };
+        self.is_event_stream && !at_event_end
+    }
+
     /// Ends a stream that was received completely; returns the bytes that were held back.
     fn end(&mut self) -> Option<Result<Bytes, BodyAborted>> {
         let state = std::mem::replace(&mut self.state, State::Done);
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -58,8 +58,8 @@
         }
         let deadline = attempt_deadline(gateway, request, progress);
         let first = match timeout_at(deadline, first_bytes(&mut body)).await {
-            Ok(Some(first)) => first,
-            Ok(None) => {
+            Ok(Some(first)) if !(first.is_empty() && is_cut_before_events(&head)) => first,
+            Ok(_) => {
                 record_failure(gateway, request, progress, &attempt, Failure::Broke);
                 continue;
             }
@@ -78,6 +78,14 @@
     }
 }
 
+/// Whether a stream that ends without an event was broken off: its end is only that of the
+/// connection.
+fn is_cut_before_events(head: &response::Parts) -> bool {
+    head.status.is_success()
+        && upstream_response::is_event_stream(&head.headers)
+        && upstream_response::ends_with_connection(&head.headers)
+}
+
 /// Records a failure that came after the head of the response.
 pub(crate) fn record_failure(
     gateway: &Arc<Gateway>,
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -4,13 +4,17 @@
 
 use hyper::{
     HeaderMap, StatusCode,
-    header::{CONNECTION, CONTENT_ENCODING, HeaderName},
+    header::{
+        CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, TRANSFER_ENCODING,
+    },
     http::response,
 };
 use tanagergauge_core::{endpoint::ServerLoad, send_history::Failure};
 
 use crate::{header_names::HeaderNames, request::Request};
 
+/// Content type of a stream of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Response headers that apply to a single connection only.
 const HOP_BY_HOP: [&str; 6] =
     ["connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding"];
@@ -86,6 +90,18 @@
     Some(Duration::from_secs(value.parse().ok()?))
 }
 
+/// Whether the body is a stream of server-sent events.
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE).map_or(&b""[..], |it| it.as_bytes());
+    let name = EVENT_STREAM.as_bytes();
+    content_type.get(..name.len()).is_some_and(|it| it.eq_ignore_ascii_case(name))
+}
+
+/// Whether the body ends with its connection, because the response has neither a length nor chunks.
+pub(crate) fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Removes headers that apply to the connection to the endpoint.
 pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
     for name in HOP_BY_HOP {
