Bound what suspects cost when many endpoints fail at once

What callers would see: on a large deployment whose engines fail by the dozen, hundreds of suspects at once would make each report tens of kilobytes and delay the loads that instances need then; beyond 1,024 suspects each new one searched all others for the weakest.

Cause: a message held all changed suspects, up to 512, and since the parts of prompts are suspects there are up to four times as many; losses that were cleared stayed in the findings for ten minutes.

Change: at most 128 suspects a message, the rest in the next ones; 128 weak ones are dropped together; losses are dropped once they are cleared. Tests: many_suspects_are_sent_in_several_messages, losses_that_were_cleared_are_dropped (both fail without).

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -14,6 +14,9 @@
 /// Most fingerprints to track.
 const FINGERPRINT_LIMIT: usize = 1024;
 
+/// Fingerprints that are dropped together when there are too many.
+const EVICTION_COUNT: usize = 128;
+
 /// Time after which an announced trial no longer blocks another, in milliseconds.
 const TRIAL_LIMIT_MS: u64 = 60_000;
 
@@ -225,6 +228,7 @@
         }
         if let Some(suspicion) = self.suspicions.get_mut(&fingerprint) {
             suspicion.cleared_ms = suspicion.cleared_ms.max(now_ms);
+            suspicion.drop_cleared_losses();
             self.changed.push(fingerprint);
         }
     }
@@ -258,7 +262,7 @@
     /// The suspects with the most losses, at most `limit`.
     pub fn most_suspected(&self, limit: usize) -> Vec<Fingerprint> {
         let mut suspects: Vec<(&Fingerprint, &Suspicion)> = self.suspicions.iter().collect();
-        suspects.sort_by_key(|(_, it)| Reverse(it.evidence()));
+        suspects.sort_by_cached_key(|(_, it)| Reverse(it.evidence()));
         suspects.into_iter().take(limit).map(|(key, _)| *key).collect()
     }
 
@@ -330,17 +334,15 @@
     fn entry(&mut self, fingerprint: Fingerprint) -> &mut Suspicion {
         if self.suspicions.len() >= FINGERPRINT_LIMIT && !self.suspicions.contains_key(&fingerprint)
         {
-            self.evict_least_suspected();
+            self.evict_least_suspected(EVICTION_COUNT);
         }
         self.suspicions.entry(fingerprint).or_default()
     }
 
-    fn evict_least_suspected(&mut self) {
-        let weakest = self.suspicions.iter().min_by_key(|(_, it)| it.evidence());
-        let weakest = weakest.map(|(key, _)| *key);
-        if let Some(key) = weakest {
-            self.suspicions.swap_remove(&key);
-        }
+    fn evict_least_suspected(&mut self, count: usize) {
+        let kept = self.most_suspected(self.suspicions.len().saturating_sub(count));
+        let kept: IndexSet<Fingerprint> = kept.into_iter().collect();
+        self.suspicions.retain(|fingerprint, _| kept.contains(fingerprint));
     }
 }
 
@@ -416,6 +418,12 @@
             raise_to(self.trials.entry(instance.clone()).or_insert(0), *at_ms);
         }
         raise_to(&mut self.cleared_ms, theirs.cleared_ms);
+        self.drop_cleared_losses();
+    }
+
+    /// Drops losses that will never count again, so that the findings stay small.
+    fn drop_cleared_losses(&mut self) {
+        self.losses.retain(|_, at_ms| *at_ms > self.cleared_ms);
     }
 }
 
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -6,6 +6,7 @@
 
 use std::collections::VecDeque;
 
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -20,8 +21,11 @@
 const INTERRUPTION_MAX_AGE_MS: u64 = 6_000;
 /// Maximum number of interruptions kept; beyond it the oldest are dropped.
 const MAX_INTERRUPTIONS: usize = 1_024;
-/// Maximum number of updates kept for peers, and of suspects in one message.
-const MAX_UPDATES: usize = 512;
+/// Maximum number of updates kept for peers.
+const MAX_UPDATES: usize = 1_024;
+/// Maximum number of suspects in one message, which is some kilobytes. When many endpoints fail at
+/// once, messages with all suspects would delay the load reports that are needed then.
+const MAX_MESSAGE_SUSPECTS: usize = 128;
 
 /// The suspected requests and prompt parts, and the interruptions that may add to them.
 #[derive(Clone, Debug)]
@@ -159,24 +163,30 @@
         self.record_updates();
     }
 
-    /// The updates from `position` on, for a peer that received those before it. A peer that is too
-    /// far behind gets the most suspected instead.
+    /// The updates from `position` on, as many as a message may have, for a peer that received those
+    /// before it. A peer that is too far behind gets the most suspected instead.
     pub fn updates_since(&self, position: LogPosition) -> SuspectUpdates {
-        let changed = match self.updates.since(position) {
+        let (changed, next) = match self.updates.since(position) {
             Some(updates) => {
-                let mut changed: Vec<Fingerprint> = updates.copied().collect();
-                changed.sort_unstable();
-                changed.dedup();
-                changed
+                let mut changed = IndexSet::new();
+                let mut next = updates.begin;
+                for fingerprint in updates.entries {
+                    if changed.len() == MAX_MESSAGE_SUSPECTS && !changed.contains(fingerprint) {
+                        break;
+                    }
+                    changed.insert(*fingerprint);
+                    next.offset += 1;
+                }
+                (changed.into_iter().collect(), next)
             }
-            None => self.quarantine.most_suspected(MAX_UPDATES),
+            None => (self.quarantine.most_suspected(MAX_MESSAGE_SUSPECTS), self.updates.end()),
         };
         let suspect = |fingerprint: Fingerprint| {
             let suspicion = self.quarantine.suspicion_of(fingerprint)?.clone();
             Some(Suspect { fingerprint, suspicion })
         };
         let suspects = changed.into_iter().filter_map(suspect).collect();
-        SuspectUpdates { suspects, next: self.updates.end() }
+        SuspectUpdates { suspects, next }
     }
 
     /// Merges the suspects of a peer. What was not known becomes an update for other peers.
--- a/crates/core/src/update_log.rs
+++ b/crates/core/src/update_log.rs
@@ -25,6 +25,15 @@
     pub offset: u64,
 }
 
+/// Entries of a log from a position on.
+#[derive(Clone, Debug)]
+pub struct Updates<I> {
+    /// Position of the first entry.
+    pub begin: LogPosition,
+    /// The entries.
+    pub entries: I,
+}
+
 impl<T> UpdateLog<T> {
     /// Creates an empty log that keeps at most `limit` entries. `id` is not 0.
     pub fn new(id: u64, limit: usize) -> UpdateLog<T> {
@@ -46,11 +55,12 @@
 
     /// Entries from a position on; from the first one if the position is in another log. `None` if
     /// some of them were dropped.
-    pub fn since(&self, position: LogPosition) -> Option<impl Iterator<Item = &T>> {
+    pub fn since(&self, position: LogPosition) -> Option<Updates<impl Iterator<Item = &T>>> {
         let offset = if position.log == self.id { position.offset } else { 0 };
         let skipped = offset.checked_sub(self.dropped)?;
         let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
-        Some(self.entries.iter().skip(skipped))
+        let begin = LogPosition { log: self.id, offset };
+        Some(Updates { begin, entries: self.entries.iter().skip(skipped) })
     }
 }
 
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -190,6 +190,36 @@
     assert!(hub.updates_since(LogPosition::default()).suspects.len() <= 512);
 }
 
+/// However many endpoints fail at once, messages stay small, and in the end all suspects are sent.
+#[test]
+fn many_suspects_are_sent_in_several_messages() {
+    let mut hub = suspects("hub");
+    for at in 0..400 {
+        crash(&mut hub, &format!("engine-{}", at / 10), &format!("request-{at}"), NOW_MS + at);
+    }
+    let (mut peer, mut position) = (suspects("peer"), LogPosition::default());
+    for _ in 0..4 {
+        let updates = hub.updates_since(position);
+        assert!(updates.suspects.len() <= 128, "{} in a message", updates.suspects.len());
+        position = updates.next;
+        peer.merge(updates.suspects);
+    }
+    assert_eq!(peer.len(), hub.len());
+    assert!(hub.updates_since(position).suspects.is_empty());
+}
+
+/// The findings about a request that completes again and again stay small.
+#[test]
+fn losses_that_were_cleared_are_dropped() {
+    let mut suspects = suspects("a");
+    for at in 0..100 {
+        crash(&mut suspects, &format!("engine-{at}"), "bystander", NOW_MS + at * 1_000);
+        suspects.record_completed(&plain("bystander"), NOW_MS + at * 1_000 + 500);
+    }
+    let updates = suspects.updates_since(LogPosition::default());
+    assert!(updates.suspects.iter().all(|it| it.suspicion.findings().len() <= 2));
+}
+
 #[test]
 fn suspicions_expire() {
     let mut hub = suspects("hub");
@@ -206,7 +236,7 @@
     for at in 0..3 {
         crash(&mut hub, &format!("engine-{at}"), "culprit", NOW_MS + at * 1_000);
     }
-    for at in 0..1_000 {
+    for at in 0..2_000 {
         crash(&mut hub, "engine-9", &format!("bystander-{at}"), NOW_MS + 5_000);
     }
     let mut started = suspects("started");
@@ -327,7 +357,7 @@
     updates.extend(0..3);
     let since = |updates: &UpdateLog<i32>, log, offset| {
         let since = updates.since(LogPosition { log, offset });
-        since.map(|it| it.copied().collect::<Vec<_>>())
+        since.map(|it| it.entries.copied().collect::<Vec<_>>())
     };
     assert_eq!(since(&updates, LOG, 1), Some(vec![1, 2]));
     assert_eq!(since(&updates, LOG + 1, 1), Some(vec![0, 1, 2]));
