Divide limits by the live instances while lists of instances are incomplete

Cause: an instance reads the list of instances at its start and 20 s later, so that those that start first know few others and take a larger share. Evidence: in the logs of second1 one instance of six knew itself only until 10.0 s, another three.

Change: while fewer instances are listed than report their loads, the number of those and a hash of the name decide which tokens an instance owns. Test: 6, 12 and 24 instances with such lists keep the bound; by the lists alone 24 exceed it.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -99,11 +99,17 @@
         self.by_name.values().filter(|it| &*it.peer.zone == zone).count()
     }
 
-    /// Place of an instance in the order of the names of all, which includes its own.
-    pub fn position(&self, name: &str) -> FleetPosition {
-        let rank = self.by_name.keys().filter(|it| ***it < *name).count();
+    /// Place of an instance in the order of the names of all. While fewer are known than the
+    /// `live_instances` that report their loads, as after a start, the place is that of a hash.
+    pub fn position(&self, name: &str, live_instances: usize) -> FleetPosition {
         let is_listed = self.by_name.contains_key(name);
-        FleetPosition { rank, instances: self.by_name.len() + usize::from(!is_listed) }
+        let known = self.by_name.len() + usize::from(!is_listed);
+        if known < live_instances {
+            let rank = name_hash(name) as usize % live_instances;
+            return FleetPosition { rank, instances: live_instances };
+        }
+        let rank = self.by_name.keys().filter(|it| ***it < *name).count();
+        FleetPosition { rank, instances: known }
     }
 
     /// Number of known instances, paused ones included.
--- a/crates/core/tests/endpoint_limits.rs
+++ b/crates/core/tests/endpoint_limits.rs
@@ -1,8 +1,11 @@
 //! Instances share the limits that endpoints name, without exceeding them.
 
+use std::net::SocketAddr;
+
 use tanagergauge_core::{
     Name,
     endpoint_limits::{EndpointLimits, FleetPosition, LimitUpdate, Permission},
+    roster::{Peer, Roster},
 };
 
 /// A moment as Unix time; monotonic times in these tests are the same.
@@ -73,6 +76,41 @@
     a_limit_above_the_demand_is_none: 6 instances, every 1000 ms, 60.0 per s => at least 340 in 60 s;
 }
 
+/// Instances that started one after the other have read lists of different lengths. `live` is the
+/// number of instances whose loads they receive.
+fn fleet_with_incomplete_lists(
+    instances: usize,
+    live: usize,
+    limit_per_s: f64,
+) -> Vec<EndpointLimits> {
+    let peer = |number: usize| Peer {
+        name: Name::from(format!("front-{number}")),
+        zone: Name::from(format!("zone-{}", number % 3)),
+        control: SocketAddr::from(([10, 0, 0, number as u8], 8_748)),
+    };
+    let mut fleet = fleet(instances, limit_per_s);
+    let mut roster = Roster::default();
+    for (number, limits) in fleet.iter_mut().enumerate() {
+        let own = peer(number);
+        roster.put(own.clone());
+        limits.set_position(roster.position(&own.name, live));
+    }
+    fleet
+}
+
+#[test]
+fn a_limit_is_kept_while_lists_of_instances_are_incomplete() {
+    for instances in [6, 12, 24] {
+        let mut fleet = fleet_with_incomplete_lists(instances, instances, 1.5);
+        let sent_ms = send_all(&mut fleet, 100, 20_000);
+        let most = most_within(&sent_ms, 4_000);
+        assert!(most <= 14, "{most} in 4 s, 14 allowed, {instances} instances");
+    }
+    // By the lists alone the shares add up to far more than the limit.
+    let mut fleet = fleet_with_incomplete_lists(24, 0, 1.5);
+    assert!(most_within(&send_all(&mut fleet, 100, 20_000), 4_000) > 14);
+}
+
 /// After a long silence no instance has saved up requests.
 #[test]
 fn tokens_are_not_saved_up() {
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 use tanagergauge_core::{
@@ -21,6 +24,8 @@
     reports: Mutex<PeerReports>,
     roster: Mutex<Roster>,
     hub: Mutex<HubStatus>,
+    /// Number of instances that reported their loads recently, this one included.
+    live_instances: AtomicUsize,
     /// Cursors of the exchange of suspects with each peer that this instance reports to.
     suspect_cursors: Mutex<HashMap<Name, SyncCursors>>,
 }
@@ -101,6 +106,17 @@
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Number of instances that reported their loads recently, this one included; 0 before the first
+    /// report.
+    pub(crate) fn live_instances(&self) -> usize {
+        self.live_instances.load(Ordering::Relaxed)
+    }
+
+    /// Records how many other instances reported their loads.
+    pub(crate) fn set_other_instances(&self, others: u32) {
+        self.live_instances.store(others as usize + 1, Ordering::Relaxed);
+    }
+
     /// Cursors of the exchange of suspects with a peer.
     pub(crate) fn suspect_cursors(&self, peer: &str) -> SyncCursors {
         self.lock_suspect_cursors().get(peer).copied().unwrap_or_default()
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -92,7 +92,8 @@
         let roster = gateway.peers.roster();
         let now_ms = clock::now_ms();
         let hub = roster.hub(&local.zone, &local.name, now_ms).cloned();
-        update_limits(gateway, roster.position(&local.name), now_ms);
+        let position = roster.position(&local.name, gateway.peers.live_instances());
+        update_limits(gateway, position, now_ms);
         (hub, roster.member_count(&local.zone), roster.zones().len())
     };
     match hub {
@@ -198,6 +199,7 @@
             apply_findings(gateway, &hub.name, &report, &mut response);
             gateway.peers.roster().record_success(&hub.name);
             gateway.peers.record_hub_response(response.age_ms, members);
+            gateway.peers.set_other_instances(response.instances);
             gateway.balancer().set_peer_loads(&response.loads, clock::now_ms());
             apply_records(follower, response);
             bytes
@@ -213,7 +215,8 @@
 /// Updates the hub's own view of other instances' loads, which it gets from their reports.
 fn apply_received_loads(gateway: &Gateway) {
     let now_ms = clock::now_ms();
-    let (loads, _) = gateway.peers.reports().loads_for_hub(now_ms);
+    let (loads, others) = gateway.peers.reports().loads_for_hub(now_ms);
+    gateway.peers.set_other_instances(others);
     gateway.balancer().set_peer_loads(&loads, now_ms);
 }
 
