Let only requests that were there when an endpoint crashed explain the crash

Cause, shown by a test of the core: sound requests that reach an endpoint a little after it crashed are interrupted there too, so that a sound part may have the same losses as the culprit's part and explain all of them. The culprit then stays unblamed until the sound part has completed and all know of it.

--- a/crates/core/src/crash_attribution.rs
+++ b/crates/core/src/crash_attribution.rs
@@ -77,7 +77,7 @@
 }
 
 /// Number of crashes that count against a suspect and that `explanation` does not explain, because
-/// it was not running at the endpoint.
+/// it was not running at the endpoint, or came when the endpoint had crashed already.
 fn crash_count(
     suspects: &Quarantine,
     suspect: Fingerprint,
@@ -86,11 +86,13 @@
 ) -> usize {
     let Some(losses) = suspects.losses_of(suspect, now_ms) else { return 0 };
     let explained = explanation.and_then(|it| suspects.losses_of(it, now_ms));
-    let is_explained = |endpoint: &Name| {
-        explained.clone().is_some_and(|mut losses| losses.any(|(it, _)| it == endpoint))
+    let is_explained = |endpoint: &Name, lost_ms: u64| {
+        let ran_there =
+            |(it, at_ms): (&Name, u64)| it == endpoint && at_ms < lost_ms + SAME_INCIDENT_MS;
+        explained.clone().is_some_and(|mut losses| losses.any(ran_there))
     };
     let mut times: Vec<u64> = losses
-        .filter(|(endpoint, _)| !is_explained(endpoint))
+        .filter(|(endpoint, lost_ms)| !is_explained(endpoint, *lost_ms))
         .map(|(_, lost_ms)| lost_ms)
         .collect();
     times.sort_unstable();
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -151,6 +151,22 @@
     assert!(!is_quarantined(&suspects, &prompt("sound", &[1, 9, 2]), now_ms + 1));
 }
 
+/// Sound requests that are sent to endpoints a little after these crashed are interrupted there too.
+#[test]
+fn requests_at_endpoints_that_had_crashed_before_explain_nothing() {
+    let mut suspects = suspects("a");
+    for at in 0..3 {
+        let (endpoint, now_ms) = (format!("engine-{at}"), NOW_MS + at * 1_000);
+        let culprit = prompt(&format!("culprit-{at}"), &[7, 200 + at]);
+        crash_with(&mut suspects, &endpoint, &[culprit], now_ms);
+        let sound = prompt(&format!("sound-{at}"), &[1, 300 + at]);
+        crash_with(&mut suspects, &endpoint, &[sound], now_ms + 400);
+    }
+    let now_ms = NOW_MS + 3_000;
+    assert!(is_quarantined(&suspects, &prompt("culprit", &[7, 2]), now_ms));
+    assert!(!is_quarantined(&suspects, &prompt("sound", &[1, 2]), now_ms));
+}
+
 /// Parts that are in use everywhere are not to blame when many endpoints fail at once.
 #[test]
 fn endpoints_that_fail_together_count_as_one_crash() {
