Split the exchange of reports, the balancer's types and the daemon's fingerprints

sync.rs held the registration of the instance, the list of instances, one exchange and the reports; balancer.rs its own question and answer types, and a choice of 45 lines. Each has a file or function of its own now. The daemon's fingerprints have one too; an owner derives those of messages from the body, so that messages between daemons stay as they were, and the new reason is the last of its enum. Log targets stay. No other change of behaviour.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -9,7 +9,7 @@
 //! events that an engine in constant prefill misses. A share of the engines is reserved for
 //! them, and long prompts avoid these.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::collections::HashMap;
 
 use indexmap::IndexMap;
 
@@ -23,6 +23,10 @@
     part_popularity::PartPopularity,
     prefix_affinity::{PrefixAffinity, mix64},
     prompt_part::{self, PromptPart},
+    selection::{
+        BalanceSettings, EndpointCounts, EndpointEstimate, EndpointQuery, NoEndpoint,
+        SelectedEndpoint,
+    },
 };
 
 /// Weight of a request's prefill time in its cost, on top of the time itself: prefill delays
@@ -52,98 +56,6 @@
 /// How long the loads that peers reported are used, in milliseconds.
 const PEER_LOADS_MAX_AGE_MS: u64 = 1_500;
 
-/// Settings of a deployment that endpoints do not announce.
-#[derive(Clone, Copy, Debug)]
-pub struct BalanceSettings {
-    /// Prefill speed of an engine, in prompt tokens per millisecond.
-    pub prefill_tokens_per_ms: f64,
-    /// Assumed time of a request without a prompt before any was measured, in milliseconds.
-    pub initial_service_ms: f64,
-    /// Cost of sending to another availability zone of the region, in milliseconds.
-    pub zone_cost_ms: f64,
-    /// Cost of sending to another region, in milliseconds.
-    pub region_cost_ms: f64,
-}
-
-/// What the selection of an endpoint depends on.
-#[derive(Clone, Debug)]
-pub struct EndpointQuery<'a> {
-    /// The service that runs the request.
-    pub service: &'a Name,
-    /// Parts of the prompt; empty for services that run no model.
-    pub parts: &'a [PromptPart],
-    /// Endpoints that the request was sent to before; they are not selected again.
-    pub tried: &'a [Name],
-    /// The request is a stream whose event gap goal an engine in constant prefill would miss.
-    pub latency_sensitive: bool,
-    /// The request may run twice, so it may go to an endpoint on probation.
-    pub may_probe: bool,
-    /// Uniform random number that breaks ties.
-    pub random: u64,
-    /// Unix time in milliseconds, by which instances divide the limits that endpoints named.
-    pub unix_ms: u64,
-}
-
-/// An endpoint that was selected for a request.
-#[derive(Clone, Debug)]
-pub struct SelectedEndpoint {
-    /// Its name.
-    pub id: Name,
-    /// Where it accepts requests.
-    pub address: SocketAddr,
-    /// Expected time to the first byte, in milliseconds.
-    pub expected_ms: f64,
-    /// Prompt tokens that it is expected to prefill, because it has not cached them.
-    pub prefill_tokens: u32,
-    /// Copied from [`EndpointQuery::latency_sensitive`].
-    pub latency_sensitive: bool,
-    /// Token of the endpoint's limit that the request uses; `None` if there is no limit.
-    pub limit_token_ms: Option<u64>,
-    /// The figures behind the selection, for the log.
-    pub estimate: EndpointEstimate,
-}
-
-/// Estimated state of an endpoint when it was selected.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct EndpointEstimate {
-    /// Requests of all instances there.
-    pub running: f64,
-    /// Prompt tokens of all instances' requests that it has to prefill first.
-    pub queued_prefill_tokens: f64,
-    /// By how much its recent responses were later than expected, in milliseconds.
-    pub delay_ms: f64,
-    /// Age of the loads that peers reported, in milliseconds; `None` if they are too old to use.
-    pub peer_loads_age_ms: Option<u64>,
-    /// Share of the service's engines that was reserved for latency-sensitive streams.
-    pub reserved_share: f64,
-    /// The endpoint is one of the reserved engines.
-    pub is_reserved: bool,
-}
-
-/// Number of endpoints in each state.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct EndpointCounts {
-    /// Accept requests without restriction.
-    pub good: u32,
-    /// Get one request at a time after failures.
-    pub on_probation: u32,
-    /// Get no requests for a while after failures.
-    pub paused: u32,
-    /// Announced that they are about to stop.
-    pub leaving: u32,
-}
-
-/// Why no endpoint was selected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoEndpoint {
-    /// The service has no endpoints, or all of them are leaving.
-    NoneServing,
-    /// All endpoints are paused or were tried.
-    Exhausted,
-    /// The endpoints that are left have named limits, and this instance's share is used up.
-    Limited,
-}
-
 /// State of all endpoints, and the selection among them.
 #[derive(Clone, Debug)]
 pub struct Balancer {
@@ -323,42 +235,8 @@
         query: &EndpointQuery<'_>,
         now_ms: u64,
     ) -> Result<SelectedEndpoint, NoEndpoint> {
-        let serves = |it: &&Endpoint| it.info.service == *query.service && !it.info.leaving;
-        let untried: Vec<&Endpoint> = self
-            .endpoints
-            .values()
-            .filter(serves)
-            .filter(|it| !query.tried.contains(&it.info.id))
-            .collect();
-        if untried.is_empty() {
-            return Err(if query.tried.is_empty() {
-                NoEndpoint::NoneServing
-            } else {
-                NoEndpoint::Exhausted
-            });
-        }
-        let permitted: Vec<&Endpoint> = untried
-            .iter()
-            .filter(|it| self.limits.permission(&it.info.id, query.unix_ms) != Permission::Wait)
-            .copied()
-            .collect();
-        if permitted.is_empty() {
-            return Err(NoEndpoint::Limited);
-        }
-        let allowed = |it: &&&Endpoint| match it.health.state(now_ms) {
-            HealthState::Good => true,
-            HealthState::Probation => it.running == 0 && query.may_probe,
-            HealthState::Paused => false,
-        };
-        let healthy: Vec<&Endpoint> = permitted.iter().filter(allowed).copied().collect();
-        // A request that may not run twice still has to go somewhere: if only endpoints on
-        // probation are left, the restrictions above are dropped.
-        let unpaused = |it: &&&Endpoint| it.health.state(now_ms) != HealthState::Paused;
-        let candidates = if healthy.is_empty() {
-            permitted.iter().filter(unpaused).copied().collect()
-        } else {
-            healthy
-        };
+        let untried = self.untried(query)?;
+        let candidates = self.candidates(query, &untried, now_ms)?;
         let reserved_share = self.reserved_share(query.service, &untried);
         // Latency-sensitive streams have their preferred engines among the reserved ones, all
         // other requests among the rest.
@@ -376,6 +254,48 @@
         best.map(|it| it.selected).ok_or(NoEndpoint::Exhausted)
     }
 
+    /// Endpoints of the service that the request was not sent to yet.
+    fn untried(&self, query: &EndpointQuery<'_>) -> Result<Vec<&Endpoint>, NoEndpoint> {
+        let serves = |it: &&Endpoint| it.info.service == *query.service && !it.info.leaving;
+        let is_untried = |it: &&Endpoint| !query.tried.contains(&it.info.id);
+        let untried: Vec<&Endpoint> =
+            self.endpoints.values().filter(serves).filter(is_untried).collect();
+        match (untried.is_empty(), query.tried.is_empty()) {
+            (false, _) => Ok(untried),
+            (true, true) => Err(NoEndpoint::NoneServing),
+            (true, false) => Err(NoEndpoint::Exhausted),
+        }
+    }
+
+    /// Those of the endpoints that may get the request by their limits and health.
+    fn candidates<'a>(
+        &self,
+        query: &EndpointQuery<'_>,
+        untried: &[&'a Endpoint],
+        now_ms: u64,
+    ) -> Result<Vec<&'a Endpoint>, NoEndpoint> {
+        let is_permitted = |it: &&&Endpoint| {
+            self.limits.permission(&it.info.id, query.unix_ms) != Permission::Wait
+        };
+        let permitted: Vec<&Endpoint> = untried.iter().filter(is_permitted).copied().collect();
+        if permitted.is_empty() {
+            return Err(NoEndpoint::Limited);
+        }
+        let is_healthy = |it: &&&Endpoint| match it.health.state(now_ms) {
+            HealthState::Good => true,
+            HealthState::Probation => it.running == 0 && query.may_probe,
+            HealthState::Paused => false,
+        };
+        let healthy: Vec<&Endpoint> = permitted.iter().filter(is_healthy).copied().collect();
+        if !healthy.is_empty() {
+            return Ok(healthy);
+        }
+        // A request that may not run twice still has to go somewhere: if only endpoints on
+        // probation are left, the restrictions above are dropped.
+        let is_unpaused = |it: &&&Endpoint| it.health.state(now_ms) != HealthState::Paused;
+        Ok(permitted.iter().filter(is_unpaused).copied().collect())
+    }
+
     fn prefix_affinity(
         &self,
         query: &EndpointQuery<'_>,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -61,6 +61,7 @@
 mod running_job;
 mod scalar;
 pub mod scheduler;
+pub mod selection;
 pub mod send_history;
 pub mod settings;
 pub mod sheet;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -106,8 +106,6 @@
     OverShare,
     /// No endpoint serves the model or service.
     NoEndpoint,
-    /// All endpoints have named limits, which are used up.
-    EndpointLimit,
     /// The endpoint refused the request before executing it.
     EndpointRefused,
     /// The connection to the endpoint could not be opened.
@@ -130,4 +128,6 @@
     CallerLeft,
     /// Too many streams are open.
     TooManyStreams,
+    /// All endpoints have named limits, which are used up.
+    EndpointLimit,
 }
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -4,9 +4,10 @@
 
 use tanagergauge_core::{
     Name,
-    balancer::{Balancer, EndpointQuery, NoEndpoint},
+    balancer::Balancer,
     endpoint::{Distance, EndpointInfo},
     prompt_part::PromptPart,
+    selection::{EndpointQuery, NoEndpoint},
 };
 
 mod replay;
--- a/crates/core/tests/replay/mod.rs
+++ b/crates/core/tests/replay/mod.rs
@@ -11,10 +11,11 @@
 use tanagergauge_core::{
     Name,
     admission_controller::{AdmissionController, AdmissionRequest, Verdict},
-    balancer::{BalanceSettings, Balancer, EndpointQuery, SelectedEndpoint},
+    balancer::Balancer,
     endpoint::{Distance, EndpointInfo},
     load_reports,
     prompt_part::{PromptPart, PromptParts},
+    selection::{BalanceSettings, EndpointQuery, SelectedEndpoint},
 };
 
 pub(crate) use rng::Rng;
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -10,14 +10,15 @@
 use metrics::counter;
 use serde::{Deserialize, Serialize};
 use tanagergauge_core::{
-    Name, Outcome, Reason, crash_attribution::RequestFingerprints, owner::Owner,
-    prefix_index::PrefixHashes, quarantine::Fingerprint, sheet::TargetKind,
+    Name, Outcome, Reason, owner::Owner, prefix_index::PrefixHashes, quarantine::Fingerprint,
+    sheet::TargetKind,
 };
 
 use crate::{
     attempt::Call,
     caller::Caller,
     exchange::WholeAnswer,
+    fingerprint,
     keys::Keys,
     once,
     refusal::Refusal,
@@ -52,8 +53,6 @@
     headers: Vec<HeaderLine>,
     body: Vec<u8>,
     fingerprint: [u8; 16],
-    #[serde(default)]
-    part_fingerprints: Vec<[u8; 16]>,
     limit_tokens: Option<u32>,
     left_ms: u64,
 }
@@ -179,13 +178,6 @@
             headers: lines(&call.headers),
             body: call.body.to_vec(),
             fingerprint: work.content.fingerprints.request.bytes(),
-            part_fingerprints: work
-                .content
-                .fingerprints
-                .parts
-                .iter()
-                .map(|it| it.bytes())
-                .collect(),
             limit_tokens: work.content.limit_tokens,
             left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         }
@@ -205,14 +197,12 @@
         let deadline_ms = self.left_ms;
         let caller = Caller { account: self.account, class, deadline_ms, key: Some(self.key) };
         let target = Target { kind: self.kind, name: self.target };
+        let request = Fingerprint::from_bytes(self.fingerprint);
         let content = Content {
             is_stream: false,
             limit_tokens: self.limit_tokens,
             prefix: PrefixHashes::default(),
-            fingerprints: RequestFingerprints {
-                request: Fingerprint::from_bytes(self.fingerprint),
-                parts: self.part_fingerprints.into_iter().map(Fingerprint::from_bytes).collect(),
-            },
+            fingerprints: fingerprint::of_forwarded(request, &target.name, &call.body),
         };
         Some(Work { caller, target, call, content, arrived_ms: shared.clock.now_ms() })
     }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -34,7 +34,7 @@
     clock::unix_ms,
     counters,
     ending::Ending,
-    exchange, headers,
+    exchange, fingerprint, headers,
     journal::EventKind,
     once,
     refusal::Refusal,
@@ -308,28 +308,17 @@
 }
 
 fn chat_content(caller: &Caller, target: &Target, head: &ChatHead<'_>) -> Content {
-    let prompt = head.messages.map_or("", RawValue::get).as_bytes();
+    let prompt = head.messages.map_or("", RawValue::get);
     let limits = [head.max_tokens, head.max_completion_tokens];
     let limits = limits.into_iter().flatten().filter_map(|it| it.get().parse().ok());
     Content {
         is_stream: head.stream,
         limit_tokens: limits.min(),
-        prefix: PrefixHashes::new(&target.name, prompt),
-        fingerprints: chat_fingerprints(caller, target, head),
+        prefix: PrefixHashes::new(&target.name, prompt.as_bytes()),
+        fingerprints: fingerprint::of_chat(&caller.account, &target.name, prompt),
     }
 }
 
-/// Fingerprints of a chat and of its messages but the last, which other chats may share.
-fn chat_fingerprints(caller: &Caller, target: &Target, head: &ChatHead<'_>) -> RequestFingerprints {
-    let prompt = head.messages.map_or("", RawValue::get);
-    let request = Fingerprint::new(&caller.account, &target.name, prompt.as_bytes());
-    // Messages in another form than a list are left to the engine to judge.
-    let messages: Vec<&RawValue> = serde_json::from_str(prompt).unwrap_or_default();
-    let shared = messages.split_last().map_or(&[][..], |(_, shared)| shared);
-    let part = |it: &&RawValue| Fingerprint::of_part(&target.name, it.get().as_bytes());
-    RequestFingerprints { request, parts: shared.iter().map(part).collect() }
-}
-
 fn model_target(view: &View, asked: &str) -> Result<Target, Refusal> {
     let name = view.model(asked).ok_or_else(|| {
         Refusal::not_run(Reason::UnknownTarget, format!("the sheet has no model `{asked}`"))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dispatcher;
 pub mod ending;
 pub mod exchange;
+pub mod fingerprint;
 pub mod fleet;
 pub mod fleet_view;
 pub mod follower;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,7 +11,7 @@
     http::response,
 };
 use tanagergauge_core::{
-    Name, balancer::SelectedEndpoint, endpoint::ServerLoad, send_history::Failure,
+    Name, endpoint::ServerLoad, selection::SelectedEndpoint, send_history::Failure,
 };
 use tokio::time::{Instant, timeout_at};
 
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -9,7 +9,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use tanagergauge_core::{Name, balancer::SelectedEndpoint};
+use tanagergauge_core::{Name, selection::SelectedEndpoint};
 
 use crate::{clock, gateway::Gateway, suspects};
 
--- /dev/null
+++ b/crates/gateway/src/peers/exchange.rs
@@ -0,0 +1,65 @@
+//! One report to a peer and its response.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, header::HOST};
+use tanagergauge_core::Name;
+use tokio::time::{Instant, timeout_at};
+
+use super::{
+    PATH,
+    message::{SyncRequest, SyncResponse},
+};
+use crate::{attempt::collect_body, gateway::Gateway};
+
+/// Log target that deployed log filters select; it is independent of the module path.
+const LOG_TARGET: &str = "tanagergauge_gateway::peers::sync";
+
+/// A peer's response to a report.
+pub(super) struct Exchange {
+    pub(super) response: SyncResponse,
+    /// Size of report and response together.
+    pub(super) bytes: usize,
+}
+
+/// Sends a report; `None` if no valid response arrives in time.
+pub(super) async fn send(
+    gateway: &Gateway,
+    name: &Name,
+    control: SocketAddr,
+    report: &SyncRequest,
+    timeout: Duration,
+) -> Option<Exchange> {
+    let deadline = Instant::now() + timeout;
+    let body = match postcard::to_stdvec(report) {
+        Ok(body) => Bytes::from(body),
+        Err(error) => {
+            tracing::error!(target: LOG_TARGET, %error, "cannot encode a report");
+            return None;
+        }
+    };
+    let mut connection = match gateway.pool.take(name, control, true) {
+        Some(connection) => connection,
+        None => timeout_at(deadline, gateway.pool.connect(control)).await.ok()?.ok()?,
+    };
+    let sent_bytes = body.len();
+    let request = hyper::Request::builder()
+        .method(Method::POST)
+        .uri(PATH)
+        .header(HOST, control.to_string())
+        .body(Full::new(body))
+        .ok()?;
+    let response =
+        timeout_at(deadline, connection.sender.send_request(request)).await.ok()?.ok()?;
+    let bytes = collect_body(response.into_body(), deadline).await.ok()?;
+    gateway.pool.put(name, connection, None);
+    match postcard::from_bytes(&bytes) {
+        Ok(response) => Some(Exchange { response, bytes: sent_bytes + bytes.len() }),
+        Err(error) => {
+            tracing::warn!(target: LOG_TARGET, %error, peer = %name, "cannot decode a peer's response");
+            None
+        }
+    }
+}
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -4,7 +4,9 @@
 //! The members of an availability zone report to one of them, the zone's hub, and hubs report to
 //! each other.
 
+mod exchange;
 mod message;
+mod registration;
 mod serve;
 mod state;
 mod sync;
--- /dev/null
+++ b/crates/gateway/src/peers/registration.rs
@@ -0,0 +1,97 @@
+//! This instance's entry in the store, and the list of all instances that comes from such entries.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tanagergauge_core::{Name, roster::Peer};
+use tokio::time::sleep;
+
+use crate::{
+    backoff::Backoff,
+    clock,
+    gateway::Gateway,
+    store::{Snapshot, Store, Topic},
+};
+
+/// Log target that deployed log filters select; it is independent of the module path.
+const LOG_TARGET: &str = "tanagergauge_gateway::peers::sync";
+/// Interval at which the list of instances is read from the store.
+const ROSTER_INTERVAL: Duration = Duration::from_secs(20);
+/// Delay after the first failed read or write of the list; doubles with each further failure.
+const INITIAL_ROSTER_BACKOFF: Duration = Duration::from_millis(500);
+/// Longest such delay. An instance without the list knows no hub, and reads the store by itself.
+const MAX_ROSTER_BACKOFF: Duration = Duration::from_secs(2);
+/// Added to the number of listed instances that share the retry budget, for one that has started
+/// but is not in the list yet.
+const UNLISTED_INSTANCES: usize = 1;
+
+/// An instance's entry in the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct Registration {
+    availability_zone: Name,
+    #[serde(rename = "control")]
+    control_address: SocketAddr,
+}
+
+/// Writes this instance's entry into the store and keeps the list of instances up to date.
+pub(super) async fn run<S: Store>(gateway: Arc<Gateway>, store: Arc<S>) {
+    let settings = &gateway.settings;
+    let registration = Registration {
+        availability_zone: settings.availability_zone.clone(),
+        control_address: settings.control_listen,
+    };
+    match serde_json::to_vec(&registration) {
+        Ok(value) => register(&gateway, &*store, &value).await,
+        Err(error) => {
+            tracing::error!(target: LOG_TARGET, %error, "cannot encode the entry of this instance")
+        }
+    }
+    let mut backoff = Backoff::new(INITIAL_ROSTER_BACKOFF, MAX_ROSTER_BACKOFF);
+    loop {
+        gateway.suspects().expire(clock::unix_ms());
+        match store.snapshot(Topic::Instances).await {
+            Ok(snapshot) => {
+                update_roster(&gateway, snapshot);
+                backoff.reset();
+                sleep(ROSTER_INTERVAL).await;
+            }
+            Err(error) => {
+                tracing::debug!(target: LOG_TARGET, %error, "cannot read the list of instances; retrying");
+                sleep(backoff.failed()).await;
+            }
+        }
+    }
+}
+
+async fn register<S: Store>(gateway: &Gateway, store: &S, value: &[u8]) {
+    let mut backoff = Backoff::new(INITIAL_ROSTER_BACKOFF, MAX_ROSTER_BACKOFF);
+    while let Err(error) = store.put(Topic::Instances, &gateway.settings.instance, value).await {
+        tracing::info!(target: LOG_TARGET, %error, "cannot write the entry of this instance; retrying");
+        sleep(backoff.failed()).await;
+    }
+}
+
+fn update_roster(gateway: &Gateway, snapshot: Snapshot) {
+    let mut records = snapshot.records;
+    // Of two entries with the same address, the later one belongs to the running instance.
+    records.sort_by_key(|it| it.offset);
+    let mut roster = gateway.peers.roster();
+    for record in records {
+        let Some(value) = record.value else { continue };
+        match serde_json::from_slice::<Registration>(&value) {
+            Ok(it) => roster.put(Peer {
+                name: record.key,
+                zone: it.availability_zone,
+                control: it.control_address,
+            }),
+            Err(error) => {
+                tracing::warn!(target: LOG_TARGET, instance = %record.key, %error, "skipping the entry of an instance");
+            }
+        }
+    }
+    let instances = roster.len() + UNLISTED_INSTANCES;
+    drop(roster);
+    if gateway.budgets().set_instances(instances) {
+        tracing::info!(target: LOG_TARGET, instances, "instances that share the budget of repeats");
+    }
+}
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -1,11 +1,7 @@
 //! Sends reports to this zone's hub and, as the hub, to the hubs of other zones.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{Method, header::HOST};
-use serde::{Deserialize, Serialize};
 use tanagergauge_core::{
     Name,
     endpoint_limits::FleetPosition,
@@ -16,16 +12,15 @@
 };
 use tokio::{
     task::JoinSet,
-    time::{Instant, sleep, sleep_until, timeout_at},
+    time::{Instant, sleep_until},
 };
 
 use super::{
-    PATH,
+    exchange::{self, Exchange},
     message::{SenderRole, SyncRequest, SyncResponse},
+    registration,
 };
 use crate::{
-    attempt::collect_body,
-    backoff::Backoff,
     clock,
     follow::StoreFollower,
     gateway::Gateway,
@@ -36,16 +31,6 @@
 const ZONE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time-out for a response of another zone's hub.
 const CROSS_ZONE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Interval at which the list of instances is read from the store.
-const ROSTER_INTERVAL: Duration = Duration::from_secs(20);
-/// Delay after the first failed read or write of the list; doubles with each further failure.
-const INITIAL_ROSTER_BACKOFF: Duration = Duration::from_millis(500);
-/// Longest such delay. An instance without the list knows no hub, and reads the store by itself.
-const MAX_ROSTER_BACKOFF: Duration = Duration::from_secs(2);
-/// Added to the number of listed instances that share the retry budget, for one that has started
-/// but is not in the list yet.
-const UNLISTED_INSTANCES: usize = 1;
-
 /// A report to a peer.
 struct Report {
     request: SyncRequest,
@@ -53,27 +38,12 @@
     suspects_sent: LogPosition,
 }
 
-/// A peer's response to a report.
-struct Exchange {
-    response: SyncResponse,
-    /// Size of report and response together.
-    bytes: usize,
-}
-
-/// An instance's entry in the store.
-#[derive(Debug, Serialize, Deserialize)]
-struct Registration {
-    availability_zone: Name,
-    #[serde(rename = "control")]
-    control_address: SocketAddr,
-}
-
 /// Exchanges reports with peers until the process ends.
 pub(crate) async fn run<S: Store>(follower: Arc<StoreFollower>, store: Arc<S>) {
     let gateway = Arc::clone(follower.gateway());
     let local = local_peer(&gateway);
     gateway.peers.roster().put(local.clone());
-    tokio::spawn(maintain_roster(Arc::clone(&gateway), store));
+    tokio::spawn(registration::run(Arc::clone(&gateway), store));
     loop {
         let begin = Instant::now();
         let interval_ms = send_reports(&follower, &local).await;
@@ -127,74 +97,13 @@
     }
 }
 
-/// Writes this instance's entry into the store and keeps the list of instances up to date.
-async fn maintain_roster<S: Store>(gateway: Arc<Gateway>, store: Arc<S>) {
-    let settings = &gateway.settings;
-    let registration = Registration {
-        availability_zone: settings.availability_zone.clone(),
-        control_address: settings.control_listen,
-    };
-    match serde_json::to_vec(&registration) {
-        Ok(value) => register(&gateway, &*store, &value).await,
-        Err(error) => tracing::error!(%error, "cannot encode the entry of this instance"),
-    }
-    let mut backoff = Backoff::new(INITIAL_ROSTER_BACKOFF, MAX_ROSTER_BACKOFF);
-    loop {
-        gateway.suspects().expire(clock::unix_ms());
-        match store.snapshot(Topic::Instances).await {
-            Ok(snapshot) => {
-                update_roster(&gateway, snapshot);
-                backoff.reset();
-                sleep(ROSTER_INTERVAL).await;
-            }
-            Err(error) => {
-                tracing::debug!(%error, "cannot read the list of instances; retrying");
-                sleep(backoff.failed()).await;
-            }
-        }
-    }
-}
-
-async fn register<S: Store>(gateway: &Gateway, store: &S, value: &[u8]) {
-    let mut backoff = Backoff::new(INITIAL_ROSTER_BACKOFF, MAX_ROSTER_BACKOFF);
-    while let Err(error) = store.put(Topic::Instances, &gateway.settings.instance, value).await {
-        tracing::info!(%error, "cannot write the entry of this instance; retrying");
-        sleep(backoff.failed()).await;
-    }
-}
-
-fn update_roster(gateway: &Gateway, snapshot: Snapshot) {
-    let mut records = snapshot.records;
-    // Of two entries with the same address, the later one belongs to the running instance.
-    records.sort_by_key(|it| it.offset);
-    let mut roster = gateway.peers.roster();
-    for record in records {
-        let Some(value) = record.value else { continue };
-        match serde_json::from_slice::<Registration>(&value) {
-            Ok(it) => roster.put(Peer {
-                name: record.key,
-                zone: it.availability_zone,
-                control: it.control_address,
-            }),
-            Err(error) => {
-                tracing::warn!(instance = %record.key, %error, "skipping the entry of an instance");
-            }
-        }
-    }
-    let instances = roster.len() + UNLISTED_INSTANCES;
-    drop(roster);
-    if gateway.budgets().set_instances(instances) {
-        tracing::info!(instances, "instances that share the budget of repeats");
-    }
-}
-
 /// Reports to the hub of this zone, which has `members` instances. Returns the size of report and
 /// response in bytes.
 async fn report_to_hub(follower: &StoreFollower, hub: &Peer, members: usize) -> usize {
     let gateway = follower.gateway();
     let (loads, instances) = (gateway.balancer().local_loads(), 1);
     let report = build_report(follower, &hub.name, SenderRole::Member, loads, instances);
-    match exchange(gateway, &hub.name, hub.control, &report.request, ZONE_TIMEOUT).await {
+    match exchange::send(gateway, &hub.name, hub.control, &report.request, ZONE_TIMEOUT).await {
         Some(Exchange { mut response, bytes }) => {
             apply_findings(gateway, &hub.name, &report, &mut response);
             gateway.peers.roster().record_success(&hub.name);
@@ -251,7 +160,8 @@
     let local = gateway.balancer().local_loads();
     let (loads, instances) = gateway.peers.reports().loads_of_zone(local, clock::now_ms());
     let report = build_report(&follower, &hub.name, SenderRole::Hub, loads, instances);
-    match exchange(gateway, &hub.name, hub.control, &report.request, CROSS_ZONE_TIMEOUT).await {
+    match exchange::send(gateway, &hub.name, hub.control, &report.request, CROSS_ZONE_TIMEOUT).await
+    {
         Some(Exchange { mut response, bytes }) => {
             apply_findings(gateway, &hub.name, &report, &mut response);
             gateway.peers.roster().record_success(&hub.name);
@@ -279,7 +189,7 @@
         }
         let name = Name::from(seed.to_string());
         let report = build_report(follower, &name, SenderRole::Member, Vec::new(), 1);
-        let exchanged = exchange(gateway, &name, seed, &report.request, ZONE_TIMEOUT).await;
+        let exchanged = exchange::send(gateway, &name, seed, &report.request, ZONE_TIMEOUT).await;
         if let Some(Exchange { mut response, .. }) = exchanged {
             apply_findings(gateway, &name, &report, &mut response);
             apply_records(follower, response);
@@ -351,43 +261,3 @@
     drop(view);
     gateway.confirm_endpoints(response.age_ms);
 }
-
-/// Sends a report; `None` if no valid response arrives in time.
-async fn exchange(
-    gateway: &Gateway,
-    name: &Name,
-    control: SocketAddr,
-    report: &SyncRequest,
-    timeout: Duration,
-) -> Option<Exchange> {
-    let deadline = Instant::now() + timeout;
-    let body = match postcard::to_stdvec(report) {
-        Ok(body) => Bytes::from(body),
-        Err(error) => {
-            tracing::error!(%error, "cannot encode a report");
-            return None;
-        }
-    };
-    let mut connection = match gateway.pool.take(name, control, true) {
-        Some(connection) => connection,
-        None => timeout_at(deadline, gateway.pool.connect(control)).await.ok()?.ok()?,
-    };
-    let sent_bytes = body.len();
-    let request = hyper::Request::builder()
-        .method(Method::POST)
-        .uri(PATH)
-        .header(HOST, control.to_string())
-        .body(Full::new(body))
-        .ok()?;
-    let response =
-        timeout_at(deadline, connection.sender.send_request(request)).await.ok()?.ok()?;
-    let bytes = collect_body(response.into_body(), deadline).await.ok()?;
-    gateway.pool.put(name, connection, None);
-    match postcard::from_bytes(&bytes) {
-        Ok(response) => Some(Exchange { response, bytes: sent_bytes + bytes.len() }),
-        Err(error) => {
-            tracing::warn!(%error, peer = %name, "cannot decode a peer's response");
-            None
-        }
-    }
-}
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -4,8 +4,8 @@
 use tanagergauge_core::{
     Name, Outcome, Reason,
     admission_controller::AdmissionDecision,
-    balancer::SelectedEndpoint,
     prompt_part,
+    selection::SelectedEndpoint,
     send_history::{Failure, SendHistory},
 };
 
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -7,7 +7,7 @@
 use hyper::{body::Incoming, http::response};
 use tanagergauge_core::{
     Reason,
-    balancer::{EndpointQuery, NoEndpoint, SelectedEndpoint},
+    selection::{EndpointQuery, NoEndpoint, SelectedEndpoint},
     send_history::{Failure, NextStep, has_time_to_send},
 };
 use tokio::time::{Instant, timeout_at};
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,9 +5,9 @@
 use serde::Deserialize;
 use tanagergauge_core::{
     Name,
-    balancer::BalanceSettings,
     check::check_name,
     finding::{self, Findings},
+    selection::BalanceSettings,
     settings::{self, SettingsError},
     windowed_retry_budget::RetryWindowSettings,
 };
