Do not send load reports less often because of suspects

Cause: 54 engines fail at once; the time between load reports grows with their size, so that the suspects delay the loads that instances need then. What is known of a part in use at all engines held up to 54 losses and went out whole with each change.

Change: suspects do not count for the time between reports, at most 32 go into a message, and eight losses of a suspect are kept. Tests: few_losses_of_a_suspect_are_kept, and the bound of a message.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -14,6 +14,10 @@
 /// Most fingerprints to track.
 const FINGERPRINT_LIMIT: usize = 1024;
 
+/// Most losses kept for a suspect, the newest; more than any limit, and few enough that what is
+/// known of a part that is in use everywhere stays small when many endpoints fail at once.
+const MAX_LOSSES: usize = 8;
+
 /// Fingerprints that are dropped together when there are too many.
 const EVICTION_COUNT: usize = 128;
 
@@ -216,6 +220,7 @@
         for &it in running {
             let suspicion = self.entry(it);
             raise_to(suspicion.losses.entry(endpoint.clone()).or_insert(0), now_ms);
+            suspicion.drop_surplus_losses();
             self.changed.push(it);
         }
         now_ms + self.settings.announce_ms
@@ -419,6 +424,16 @@
         }
         raise_to(&mut self.cleared_ms, theirs.cleared_ms);
         self.drop_cleared_losses();
+        self.drop_surplus_losses();
+    }
+
+    /// Drops the oldest losses beyond [`MAX_LOSSES`].
+    fn drop_surplus_losses(&mut self) {
+        while self.losses.len() > MAX_LOSSES {
+            let oldest = self.losses.iter().min_by_key(|(_, at_ms)| **at_ms);
+            let Some(endpoint) = oldest.map(|(endpoint, _)| endpoint.clone()) else { return };
+            self.losses.remove(&endpoint);
+        }
     }
 
     /// Drops losses that will never count again, so that the findings stay small.
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -23,9 +23,11 @@
 const MAX_INTERRUPTIONS: usize = 1_024;
 /// Maximum number of updates kept for peers.
 const MAX_UPDATES: usize = 1_024;
-/// Maximum number of suspects in one message, which is some kilobytes. When many endpoints fail at
-/// once, messages with all suspects would delay the load reports that are needed then.
-const MAX_MESSAGE_SUSPECTS: usize = 128;
+/// Maximum number of suspects in one message. When many endpoints fail at once, messages with all
+/// suspects would delay the load reports that are needed then.
+const MAX_MESSAGE_SUSPECTS: usize = 32;
+/// Size of a suspect with a few losses in a message, in bytes.
+pub const SUSPECT_BYTES: usize = 96;
 
 /// The suspected requests and prompt parts, and the interruptions that may add to them.
 #[derive(Clone, Debug)]
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -214,9 +214,9 @@
         crash(&mut hub, &format!("engine-{}", at / 10), &format!("request-{at}"), NOW_MS + at);
     }
     let (mut peer, mut position) = (suspects("peer"), LogPosition::default());
-    for _ in 0..4 {
+    for _ in 0..13 {
         let updates = hub.updates_since(position);
-        assert!(updates.suspects.len() <= 128, "{} in a message", updates.suspects.len());
+        assert!(updates.suspects.len() <= 32, "{} in a message", updates.suspects.len());
         position = updates.next;
         peer.merge(updates.suspects);
     }
@@ -224,6 +224,18 @@
     assert!(hub.updates_since(position).suspects.is_empty());
 }
 
+/// A part that is in use everywhere when many endpoints fail at once.
+#[test]
+fn few_losses_of_a_suspect_are_kept() {
+    let mut suspects = suspects("a");
+    for at in 0..50 {
+        let request = prompt(&format!("request-{at}"), &[1, 100 + at]);
+        crash_with(&mut suspects, &format!("engine-{at}"), &[request], NOW_MS + at);
+    }
+    let updates = suspects.updates_since(LogPosition::default());
+    assert!(updates.suspects.iter().all(|it| it.suspicion.findings().len() <= 8));
+}
+
 /// The findings about a request that completes again and again stay small.
 #[test]
 fn losses_that_were_cleared_are_dropped() {
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, header::HOST};
-use tanagergauge_core::Name;
+use tanagergauge_core::{Name, suspects::SUSPECT_BYTES};
 use tokio::time::{Instant, timeout_at};
 
 use super::{
@@ -20,8 +20,15 @@
 /// A peer's response to a report.
 pub(super) struct Exchange {
     pub(super) response: SyncResponse,
-    /// Size of report and response together.
-    pub(super) bytes: usize,
+    /// Size of report and response together, without suspects.
+    pub(super) load_bytes: usize,
+}
+
+/// Size of a report and its response, `bytes`, without the suspects. These come seldom and must not
+/// make load reports less frequent.
+fn load_bytes(report: &SyncRequest, response: &SyncResponse, bytes: usize) -> usize {
+    let suspects = report.suspects.len() + response.suspects.suspects.len();
+    bytes.saturating_sub(suspects * SUSPECT_BYTES)
 }
 
 /// Sends a report; `None` if no valid response arrives in time.
@@ -56,7 +63,10 @@
     let bytes = collect_body(response.into_body(), deadline).await.ok()?;
     gateway.pool.put(name, connection, None);
     match postcard::from_bytes(&bytes) {
-        Ok(response) => Some(Exchange { response, bytes: sent_bytes + bytes.len() }),
+        Ok(response) => {
+            let load_bytes = load_bytes(report, &response, sent_bytes + bytes.len());
+            Some(Exchange { response, load_bytes })
+        }
         Err(error) => {
             tracing::warn!(target: LOG_TARGET, %error, peer = %name, "cannot decode a peer's response");
             None
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -104,14 +104,14 @@
     let (loads, instances) = (gateway.balancer().local_loads(), 1);
     let report = build_report(follower, &hub.name, SenderRole::Member, loads, instances);
     match exchange::send(gateway, &hub.name, hub.control, &report.request, ZONE_TIMEOUT).await {
-        Some(Exchange { mut response, bytes }) => {
+        Some(Exchange { mut response, load_bytes }) => {
             apply_findings(gateway, &hub.name, &report, &mut response);
             gateway.peers.roster().record_success(&hub.name);
             gateway.peers.record_hub_response(response.age_ms, members);
             gateway.peers.set_other_instances(response.instances);
             gateway.balancer().set_peer_loads(&response.loads, clock::now_ms());
             apply_records(follower, response);
-            bytes
+            load_bytes
         }
         None => {
             tracing::info!(hub = %hub.name, "hub does not answer");
@@ -162,7 +162,7 @@
     let report = build_report(&follower, &hub.name, SenderRole::Hub, loads, instances);
     match exchange::send(gateway, &hub.name, hub.control, &report.request, CROSS_ZONE_TIMEOUT).await
     {
-        Some(Exchange { mut response, bytes }) => {
+        Some(Exchange { mut response, load_bytes }) => {
             apply_findings(gateway, &hub.name, &report, &mut response);
             gateway.peers.roster().record_success(&hub.name);
             let loads = std::mem::take(&mut response.loads);
@@ -170,7 +170,7 @@
             reports.zones.put(&hub.zone, loads, response.instances, clock::now_ms());
             drop(reports);
             apply_records(&follower, response);
-            bytes
+            load_bytes
         }
         None => {
             tracing::info!(hub = %hub.name, zone = %hub.zone, "hub of another zone does not answer");
