--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -7,10 +7,10 @@
 use tanagergauge_core::{
     Name,
     action::Action,
-    crash_attribution::RequestFingerprints,
     job::{AttemptEnd, Job},
     prefix_index::PrefixHashes,
     quarantine::Fingerprint,
+    request_fingerprints::RequestFingerprints,
     scheduler::{Scheduler, SchedulerSettings},
     sheet::{AvailabilityZone, ClientAccount, Endpoint, OutputPrior, Sheet, TargetKind},
 };
--- a/crates/core/src/crash_attribution.rs
+++ b/crates/core/src/crash_attribution.rs
@@ -7,52 +7,18 @@
 //! the request lacks: a request with all parts that may be to blame is refused, one with only some
 //! of them runs, and shows which of them it was.
 
-use smallvec::SmallVec;
-
 use crate::{
     Name,
-    prompt_part::PromptPart,
     quarantine::{Fingerprint, Quarantine},
+    request_fingerprints::RequestFingerprints,
 };
 
 /// Losses less than this time apart count as one, in milliseconds: when many endpoints fail at
 /// once, a part that is in use at several of them is not the cause.
 const SAME_INCIDENT_MS: u64 = 150;
 
-/// What a request is recognized by.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RequestFingerprints {
-    /// Identifies the whole request.
-    pub request: Fingerprint,
-    /// Identify the parts of its prompt that other requests may share, in order.
-    pub parts: SmallVec<[Fingerprint; 4]>,
-}
-
-impl RequestFingerprints {
-    /// Fingerprints of a request to a service whose prompt has these parts. The last one is not
-    /// shared with other requests.
-    pub fn new(request: Fingerprint, service: &str, parts: &[PromptPart]) -> RequestFingerprints {
-        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        let fingerprint = |it: &PromptPart| Fingerprint::of_part(service, &it.id.to_le_bytes());
-        RequestFingerprints { request, parts: shared.iter().map(fingerprint).collect() }
-    }
-
-    /// Fingerprints of a request without a prompt.
-    pub fn without_parts(request: Fingerprint) -> RequestFingerprints {
-        RequestFingerprints { request, parts: SmallVec::new() }
-    }
-
-    /// All fingerprints.
-    pub fn iter(&self) -> impl Iterator<Item = Fingerprint> {
-        std::iter::once(self.request).chain(self.parts.iter().copied())
-    }
-
-    fn contains(&self, fingerprint: Fingerprint) -> bool {
-        self.iter().any(|it| it == fingerprint)
-    }
-}
-
-/// The first of a request's parts that is to blame for as many crashes as quarantine a part; `None` if there is none. The index counts from the beginning of the prompt.
+/// Index of the first of a request's parts that is to blame for as many crashes as quarantine a
+/// part; `None` if there is none.
 pub fn blamed_part(
     suspects: &Quarantine,
     request: &RequestFingerprints,
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -3,10 +3,10 @@
 use crate::{
     Name,
     admission::Capacity,
-    crash_attribution::RequestFingerprints,
     endpoint_pool::EndpointIndex,
     length_predictor::LengthKey,
     prefix_index::PrefixHashes,
+    request_fingerprints::RequestFingerprints,
     sheet::{OutputPrior, TargetKind},
 };
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod reading_table;
 pub mod record;
 pub mod rendezvous;
+pub mod request_fingerprints;
 pub mod retry_budget;
 pub mod roster;
 pub mod routing;
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -11,8 +11,9 @@
 
 use crate::{
     Name,
-    crash_attribution::{RequestFingerprints, blamed_part},
+    crash_attribution::blamed_part,
     quarantine::{Fingerprint, Quarantine, QuarantineSettings, Suspicion},
+    request_fingerprints::RequestFingerprints,
     update_log::{LogPosition, UpdateLog},
 };
 
@@ -168,21 +169,7 @@
     /// The updates from `position` on, as many as a message may have, for a peer that received those
     /// before it. A peer that is too far behind gets the most suspected instead.
     pub fn updates_since(&self, position: LogPosition) -> SuspectUpdates {
-        let (changed, next) = match self.updates.since(position) {
-            Some(updates) => {
-                let mut changed = IndexSet::new();
-                let mut next = updates.begin;
-                for fingerprint in updates.entries {
-                    if changed.len() == MAX_MESSAGE_SUSPECTS && !changed.contains(fingerprint) {
-                        break;
-                    }
-                    changed.insert(*fingerprint);
-                    next.offset += 1;
-                }
-                (changed.into_iter().collect(), next)
-            }
-            None => (self.quarantine.most_suspected(MAX_MESSAGE_SUSPECTS), self.updates.end()),
-        };
+        let (changed, next) = self.changes_since(position);
         let suspect = |fingerprint: Fingerprint| {
             let suspicion = self.quarantine.suspicion_of(fingerprint)?.clone();
             Some(Suspect { fingerprint, suspicion })
@@ -191,6 +178,23 @@
         SuspectUpdates { suspects, next }
     }
 
+    /// What changed from `position` on, as far as a message can hold, and the position after it.
+    fn changes_since(&self, position: LogPosition) -> (IndexSet<Fingerprint>, LogPosition) {
+        let Some(updates) = self.updates.since(position) else {
+            let most_suspected = self.quarantine.most_suspected(MAX_MESSAGE_SUSPECTS);
+            return (most_suspected.into_iter().collect(), self.updates.end());
+        };
+        let (mut changed, mut next) = (IndexSet::new(), updates.begin);
+        for fingerprint in updates.entries {
+            if changed.len() == MAX_MESSAGE_SUSPECTS && !changed.contains(fingerprint) {
+                break;
+            }
+            changed.insert(*fingerprint);
+            next.offset += 1;
+        }
+        (changed, next)
+    }
+
     /// Merges the suspects of a peer. What was not known becomes an update for other peers.
     pub fn merge(&mut self, suspects: Vec<Suspect>) {
         if suspects.is_empty() {
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -3,9 +3,9 @@
 use quickcheck::{Gen, QuickCheck};
 use tanagergauge_core::{
     Name,
-    crash_attribution::RequestFingerprints,
     prompt_part::PromptPart,
     quarantine::{Fingerprint, QuarantineSettings},
+    request_fingerprints::RequestFingerprints,
     suspects::{QuarantineCause, Suspects},
     update_log::{LogPosition, SyncCursors, UpdateLog},
 };
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -13,11 +13,11 @@
 use tanagergauge_core::{
     Name, Reason,
     action::{Action, Refused},
-    crash_attribution::RequestFingerprints,
     endpoint_pool::{EndpointIndex, target_name},
     job::{AttemptEnd, Job},
     prefix_index::PrefixHashes,
     quarantine::{Fingerprint, Suspicion},
+    request_fingerprints::RequestFingerprints,
     scheduler::Scheduler,
     sheet::Endpoint,
 };
--- a/crates/daemon/src/fingerprint.rs
+++ b/crates/daemon/src/fingerprint.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use tanagergauge_core::{Name, crash_attribution::RequestFingerprints, quarantine::Fingerprint};
+use tanagergauge_core::{Name, quarantine::Fingerprint, request_fingerprints::RequestFingerprints};
 
 /// The part of a chat's body that holds its messages.
 #[derive(Deserialize)]
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -18,8 +18,8 @@
 use serde::{Deserialize, Serialize, de::IgnoredAny};
 use serde_json::value::RawValue;
 use tanagergauge_core::{
-    Name, Outcome, Reason, crash_attribution::RequestFingerprints, prefix_index::PrefixHashes,
-    quarantine::Fingerprint, sheet::TargetKind,
+    Name, Outcome, Reason, prefix_index::PrefixHashes, quarantine::Fingerprint,
+    request_fingerprints::RequestFingerprints, sheet::TargetKind,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
--- a/crates/daemon/src/work.rs
+++ b/crates/daemon/src/work.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use tanagergauge_core::{
-    Name, Outcome, Reason, crash_attribution::RequestFingerprints, prefix_index::PrefixHashes,
+    Name, Outcome, Reason, prefix_index::PrefixHashes, request_fingerprints::RequestFingerprints,
 };
 
 use crate::{
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -11,9 +11,9 @@
 use smallvec::SmallVec;
 use tanagergauge_core::{
     Name,
-    crash_attribution::RequestFingerprints,
     prompt_part::{PromptPart, PromptParts},
     quarantine::Fingerprint,
+    request_fingerprints::RequestFingerprints,
     routing::{ClientAccount, Route},
 };
 use tokio::time::Instant;
