Log how an endpoint framed its answer, how it ended and what the caller was told

'request ended' could not tell an answer without framing that ended in order from one in chunks, nor what our own framing claimed. Three fields: upstream_framing, upstream_end, caller_framing. The framing is now told by status, method and the last transfer coding, so that a HEAD, 204 or 304 without length no longer counts as one that ends with its connection, and one with another coding than chunked does. What callers get is unchanged otherwise.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod admission_controller;
 pub mod balancer;
+pub mod body_end;
 pub mod check;
 pub mod choice;
 pub mod claim;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,7 +11,8 @@
     http::response,
 };
 use tanagergauge_core::{
-    Name, endpoint::ServerLoad, selection::SelectedEndpoint, send_history::Failure,
+    Name, body_end::Framing, endpoint::ServerLoad, selection::SelectedEndpoint,
+    send_history::Failure,
 };
 use tokio::time::{Instant, timeout_at};
 
@@ -55,6 +56,7 @@
 /// A response whose head passed validation.
 pub(crate) struct UpstreamResponse {
     pub(crate) head: response::Parts,
+    pub(crate) framing: Framing,
     pub(crate) body: Incoming,
     pub(crate) attempt: Attempt,
 }
@@ -148,7 +150,10 @@
     let mut attempt = Attempt::new(Arc::clone(gateway), chosen, request);
     let result = exchange(gateway, request, &mut attempt, last_event_id, deadline).await;
     match result {
-        Ok((head, body)) => Ok(UpstreamResponse { head, body, attempt }),
+        Ok((head, body)) => {
+            let framing = upstream_response::framing(&head, &request.method);
+            Ok(UpstreamResponse { head, framing, body, attempt })
+        }
         Err(failure) => {
             record_failure(gateway, request, &attempt.chosen, failure);
             Err(failure)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,7 +9,11 @@
     header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
     http::response,
 };
-use tanagergauge_core::{Outcome, Reason, send_history::Failure};
+use tanagergauge_core::{
+    Outcome, Reason,
+    body_end::{BodyEnd, Framing},
+    send_history::Failure,
+};
 
 use crate::{
     admit::{choose_and_admit, receive_request},
@@ -144,10 +148,11 @@
     if opened.head.status.is_success() {
         return Ok(Served::Stream(Box::new(opened)));
     }
-    let OpenedResponse { head, first, body, attempt } = opened;
+    let OpenedResponse { head, framing, first, body, attempt } = opened;
     let rest = attempt::collect_body(body, request.deadline).await;
     let rest = rest.map_err(|it| body_failed(request, progress, &attempt, it))?;
     attempt.finish();
+    record_end(progress, framing, BodyEnd::Whole);
     let bytes = if rest.is_empty() { first } else { Bytes::from([first, rest].concat()) };
     Ok(Served::Buffered(caller_response(head, bytes)))
 }
@@ -168,7 +173,7 @@
                 return fallback.ok_or(refusal);
             }
         };
-        let UpstreamResponse { head, body, mut attempt } = response;
+        let UpstreamResponse { head, framing, body, mut attempt } = response;
         let deadline = attempt_deadline(gateway, request, progress);
         let bytes = match attempt::collect_body(body, deadline).await {
             Ok(bytes) => bytes,
@@ -182,6 +187,7 @@
             &gateway.header_names.load,
         ));
         progress.first_byte_ms = Some(clock::elapsed_ms(request.arrived));
+        record_end(progress, framing, BodyEnd::Whole);
         let endpoint = attempt.chosen.id.clone();
         let is_server_error = head.status.is_server_error();
         if is_server_error {
@@ -201,6 +207,13 @@
     }
 }
 
+/// Records how a buffered response ended and what the caller is told of it.
+fn record_end(progress: &mut RequestProgress, framing: Framing, end: BodyEnd) {
+    progress.upstream_framing = Some(framing);
+    progress.upstream_end = Some(end);
+    progress.caller_framing = Some(Framing::Length);
+}
+
 /// Records that an error response broke off; returns the refusal for the caller.
 fn body_failed(
     request: &Request,
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -4,6 +4,7 @@
 use tanagergauge_core::{
     Name, Outcome, Reason,
     admission_controller::AdmissionDecision,
+    body_end::{BodyEnd, Framing},
     prompt_part,
     selection::SelectedEndpoint,
     send_history::{Failure, SendHistory},
@@ -41,6 +42,12 @@
     pub(crate) last_failure: Option<Failure>,
     /// Time from the request's arrival to the first byte of a response, in milliseconds.
     pub(crate) first_byte_ms: Option<u64>,
+    /// How the endpoint whose response is delivered framed it; the last one of a resumed stream.
+    pub(crate) upstream_framing: Option<Framing>,
+    /// What is known of the end of that response; `None` if it failed.
+    pub(crate) upstream_end: Option<BodyEnd>,
+    /// How the response to the caller is framed.
+    pub(crate) caller_framing: Option<Framing>,
 }
 
 impl RequestProgress {
@@ -107,6 +114,9 @@
             unreachable = self.send_history.unreachable,
             last_failure = self.last_failure.map(<&str>::from),
             resumed,
+            upstream_framing = self.upstream_framing.map(<&str>::from),
+            upstream_end = self.upstream_end.map(<&str>::from),
+            caller_framing = self.caller_framing.map(<&str>::from),
             version = request.version,
             list_age_ms = self.list_age_ms,
             "request ended"
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,6 +17,7 @@
 };
 use tanagergauge_core::{
     Outcome, Reason,
+    body_end::{BodyEnd, Framing},
     send_history::Failure,
     sse_framer::{EventBoundary, SseFramer},
 };
@@ -105,9 +106,11 @@
     pub(crate) fn new(
         gateway: Arc<Gateway>,
         request: Arc<Request>,
-        progress: RequestProgress,
+        mut progress: RequestProgress,
         opened: OpenedResponse,
     ) -> Relay {
+        progress.upstream_framing = Some(opened.framing);
+        progress.caller_framing = Some(Framing::Chunked);
         let framer = request.route.retry_safety.allows_resend().then(SseFramer::default);
         let mut relay = Relay {
             gateway,
@@ -251,6 +254,7 @@
             upstream.attempt.finish();
         }
         suspects::record_success(&self.gateway, &self.request);
+        self.progress.upstream_end = Some(BodyEnd::Whole);
         self.report(Outcome::Answered, None);
         let rest = self.framer.as_mut().map(SseFramer::take_partial).unwrap_or_default();
         (!rest.is_empty()).then_some(Ok(rest))
@@ -310,6 +314,7 @@
             }
             Some(opened) => {
                 self.resumed += 1;
+                self.progress.upstream_framing = Some(opened.framing);
                 self.first = Some(opened.first);
                 self.last_data = Instant::now();
                 self.state = State::streaming(opened.body, opened.attempt);
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -7,6 +7,7 @@
 use hyper::{body::Incoming, http::response};
 use tanagergauge_core::{
     Reason,
+    body_end::Framing,
     selection::{EndpointQuery, NoEndpoint, SelectedEndpoint},
     send_history::{Failure, NextStep, has_time_to_send},
 };
@@ -34,6 +35,7 @@
 /// A response whose head and first bytes have been received.
 pub(crate) struct OpenedResponse {
     pub(crate) head: response::Parts,
+    pub(crate) framing: Framing,
     pub(crate) first: Bytes,
     pub(crate) body: Incoming,
     pub(crate) attempt: Attempt,
@@ -51,14 +53,14 @@
 ) -> Result<OpenedResponse, Refusal> {
     loop {
         let response = next_response(gateway, request, progress, last_event_id).await?;
-        let UpstreamResponse { head, mut body, mut attempt } = response;
+        let UpstreamResponse { head, framing, mut body, mut attempt } = response;
         if head.status.is_server_error() && has_another_attempt(gateway, request, progress) {
             record_failure(gateway, request, progress, &attempt, Failure::Failed);
             continue;
         }
         let deadline = attempt_deadline(gateway, request, progress);
         let first = match timeout_at(deadline, first_bytes(&mut body)).await {
-            Ok(Some(first)) if !(first.is_empty() && is_cut_before_events(&head)) => first,
+            Ok(Some(first)) if !(first.is_empty() && is_cut_before_events(&head, framing)) => first,
             Ok(_) => {
                 record_failure(gateway, request, progress, &attempt, Failure::Broke);
                 continue;
@@ -74,16 +76,16 @@
         ));
         progress.first_byte_ms.get_or_insert_with(|| clock::elapsed_ms(request.arrived));
         meters::first_byte(&request.route.name, request.arrived.elapsed());
-        return Ok(OpenedResponse { head, first, body, attempt });
+        return Ok(OpenedResponse { head, framing, first, body, attempt });
     }
 }
 
 /// Whether a stream that ends without an event was broken off: its end is only that of the
 /// connection.
-fn is_cut_before_events(head: &response::Parts) -> bool {
+fn is_cut_before_events(head: &response::Parts, framing: Framing) -> bool {
     head.status.is_success()
         && upstream_response::is_event_stream(&head.headers)
-        && upstream_response::ends_with_connection(&head.headers)
+        && !framing.shows_end()
 }
 
 /// Records a failure that came after the head of the response.
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use hyper::{
-    HeaderMap, StatusCode,
+    HeaderMap, Method, StatusCode,
     header::{
         CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, TRANSFER_ENCODING,
     },
     http::response,
 };
-use tanagergauge_core::{endpoint::ServerLoad, send_history::Failure};
+use tanagergauge_core::{body_end::Framing, endpoint::ServerLoad, send_history::Failure};
 
 use crate::{header_names::HeaderNames, request::Request};
 
@@ -97,9 +97,27 @@
     content_type.get(..name.len()).is_some_and(|it| it.eq_ignore_ascii_case(name))
 }
 
-/// Whether the body ends with its connection, because the response has neither a length nor chunks.
-pub(crate) fn ends_with_connection(headers: &HeaderMap) -> bool {
-    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+/// How a response to a request with `method` says where its body ends.
+pub(crate) fn framing(head: &response::Parts, method: &Method) -> Framing {
+    let has_no_body = method == Method::HEAD
+        || head.status.is_informational()
+        || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if has_no_body {
+        return Framing::NoBody;
+    }
+    // A transfer coding goes before a length; unless the last one is `chunked`, the body ends with
+    // its connection.
+    match head.headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+        Some(codings) if ends_with_chunked(codings.as_bytes()) => Framing::Chunked,
+        Some(_) => Framing::UntilClose,
+        None if head.headers.contains_key(CONTENT_LENGTH) => Framing::Length,
+        None => Framing::UntilClose,
+    }
+}
+
+fn ends_with_chunked(codings: &[u8]) -> bool {
+    let last = codings.rsplit(|it| *it == b',').next().unwrap_or_default();
+    last.trim_ascii().eq_ignore_ascii_case(b"chunked")
 }
 
 /// Removes headers that apply to the connection to the endpoint.
