Claim no more of an answer's end than its endpoint showed

Cause: an orderly close was taken for the end of the body, and our own framing (a length for buffered answers, a final chunk for relayed ones) said so to the caller.

Why it works: what is known of an end is a value of its own (body_end: whole, unknown, broken off), and the framing to the caller follows from it. Unknown ends go out without framing, which claims nothing; what broke off after such a head ends with a reset. A JSON document shows its own end. A stream of ours in chunks, resumed by an answer without, is asked for its end at another endpoint, or fails. Whether the endpoint is still there is asked by a connection that its next request then uses, so that a crash is not recorded as a success.

hyper omits framing only in responses of HTTP/1.0; the caller's socket writes the version that callers get.

--- a/crates/core/src/body_end.rs
+++ b/crates/core/src/body_end.rs
@@ -1,4 +1,10 @@
-//! What is known of the end of a response's body, by how the endpoint framed it.
+//! What is known of the end of a response's body, by how the endpoint framed it and by its content.
+//!
+//! A connection that is closed in order says nothing about the body that it carried: the process at
+//! its other end may have crashed. Callers must not be told more than that.
+
+use serde::de::IgnoredAny;
+use serde_json::error::Category;
 
 /// How a response says where its body ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr, strum::Display)]
@@ -32,3 +38,38 @@
         self != Framing::UntilClose
     }
 }
+
+impl BodyEnd {
+    /// What is known of a body that was read completely, by its framing and, where that says
+    /// nothing, by its content.
+    pub fn of_body(framing: Framing, content_type: &[u8], body: &[u8]) -> BodyEnd {
+        if framing.shows_end() {
+            BodyEnd::Whole
+        } else if is_json(content_type) {
+            BodyEnd::of_json(body)
+        } else {
+            BodyEnd::Unknown
+        }
+    }
+
+    /// A document is whole if none of its beginnings is a document; one that ends inside a value
+    /// broke off.
+    fn of_json(body: &[u8]) -> BodyEnd {
+        let first = body.trim_ascii_start().first();
+        let is_delimited = matches!(first, Some(b'{' | b'[' | b'"'));
+        match serde_json::from_slice::<IgnoredAny>(body) {
+            Ok(_) if is_delimited => BodyEnd::Whole,
+            Err(error) if error.classify() == Category::Eof && first.is_some() => {
+                BodyEnd::BrokenOff
+            }
+            Ok(_) | Err(_) => BodyEnd::Unknown,
+        }
+    }
+}
+
+/// Whether a content type is that of a JSON document.
+fn is_json(content_type: &[u8]) -> bool {
+    let media_type = content_type.split(|it| *it == b';').next().unwrap_or_default();
+    let media_type = media_type.trim_ascii().to_ascii_lowercase();
+    media_type == b"application/json" || media_type.ends_with(b"+json")
+}
--- a/crates/core/src/send_history.rs
+++ b/crates/core/src/send_history.rs
@@ -20,12 +20,21 @@
     BadAnswer,
     /// The endpoint responded with a server error.
     Failed,
+    /// The response may be whole or not, and only another endpoint can tell.
+    EndUnknown,
 }
 
 impl Failure {
     /// Whether the endpoint may have run the request.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Failure::Broke | Failure::Silent | Failure::BadAnswer | Failure::Failed)
+        match self {
+            Failure::Unreachable | Failure::Refused | Failure::Replaced => false,
+            Failure::Broke
+            | Failure::Silent
+            | Failure::BadAnswer
+            | Failure::Failed
+            | Failure::EndUnknown => true,
+        }
     }
 
     /// Whether the request reached an endpoint, so that another send counts as a retry.
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -9,8 +9,9 @@
 
 use bytes::Bytes;
 use hyper::{
-    Method, Response, StatusCode,
-    body::Incoming,
+    Method, Response, StatusCode, Version,
+    body::{Body, Incoming},
+    header::CONTENT_LENGTH,
     server::conn::http1,
     service::{HttpService, service_fn},
 };
@@ -21,8 +22,15 @@
 };
 
 use crate::{
-    attempt::collect_body, exchange, follow::StoreFollower, gateway::Gateway, meters, peers,
-    response::ResponseBody, socket, stop::Phase,
+    attempt::collect_body,
+    caller_stream::{CallerStream, ResponseState},
+    exchange,
+    follow::StoreFollower,
+    gateway::Gateway,
+    meters, peers,
+    response::ResponseBody,
+    socket,
+    stop::Phase,
 };
 
 /// Idle time-out of callers' connections before the configuration is known.
@@ -63,9 +71,16 @@
     let idle = gateway
         .configuration()
         .map_or(DEFAULT_IDLE_TIMEOUT, |it| Duration::from_millis(it.limits.idle_timeout_ms));
-    let service = service_fn(|incoming| {
-        let gateway = Arc::clone(gateway);
-        async move { Ok::<_, Infallible>(exchange::handle(gateway, incoming).await) }
+    let response_state = Arc::new(ResponseState::default());
+    let stream = CallerStream::new(stream, Arc::clone(&response_state));
+    let service = service_fn(|incoming: hyper::Request<Incoming>| {
+        let (gateway, response_state) = (Arc::clone(gateway), Arc::clone(&response_state));
+        async move {
+            let version = incoming.version();
+            let response = exchange::handle(gateway, incoming).await;
+            begin_response(&response_state, version, &response);
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(idle).max_buf_size(MAX_HEAD_BYTES);
@@ -82,6 +97,19 @@
     }
 }
 
+/// Tells the caller's socket how a response to a request of an HTTP version ends.
+fn begin_response(state: &ResponseState, version: Version, response: &Response<ResponseBody>) {
+    let is_unframed = response.version() == Version::HTTP_10;
+    // Callers of HTTP/1.0 know no chunks: only a length shows them where a body ends.
+    let is_streamed_to_old_caller = version == Version::HTTP_10
+        && !response.headers().contains_key(CONTENT_LENGTH)
+        && !response.body().is_end_stream();
+    state.begin(
+        is_unframed || is_streamed_to_old_caller,
+        is_unframed && version != Version::HTTP_10,
+    );
+}
+
 /// Waits until a graceful stop closes idle connections.
 async fn wait_for_closing(gateway: &Gateway) {
     let mut phase = gateway.phase.subscribe();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -187,7 +187,7 @@
         | Failure::Failed => {
             health.record_failure(now_ms);
         }
-        Failure::Replaced => {}
+        Failure::Replaced | Failure::EndUnknown => {}
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,11 +20,11 @@
     attempt::{self, Attempt, UpstreamResponse},
     clock,
     gateway::Gateway,
-    meters,
+    liveness, meters,
     progress::RequestProgress,
     relay::Relay,
     request::Request,
-    response::{Refusal, ResponseBody},
+    response::{Refusal, ResponseBody, end_with_connection},
     retry::{OpenedResponse, attempt_deadline, next_response, open_response, record_failure},
     suspects, upstream_response,
 };
@@ -84,9 +84,6 @@
     guard.armed = false;
     match result {
         Ok(Served::Buffered(response)) => {
-            if response.status().is_success() {
-                suspects::record_success(gateway, &request);
-            }
             progress.report(&request, Outcome::Answered, None, 0);
             response
         }
@@ -99,8 +96,18 @@
                 // A response that resumes the stream may have another length.
                 head.headers_mut().remove(CONTENT_LENGTH);
             }
+            let caller_framing = match opened.framing {
+                Framing::UntilClose => Framing::UntilClose,
+                _ if head.headers().contains_key(CONTENT_LENGTH) => Framing::Length,
+                _ => Framing::Chunked,
+            };
+            progress.caller_framing = Some(caller_framing);
             let relay = Relay::new(Arc::clone(gateway), Arc::clone(&request), progress, *opened);
-            head.map(|()| ResponseBody::Streamed(Box::new(relay)))
+            let mut response = head.map(|()| ResponseBody::Streamed(Box::new(relay)));
+            if caller_framing == Framing::UntilClose {
+                end_with_connection(&mut response);
+            }
+            response
         }
         Err(refusal) => {
             progress.report(&request, refusal.outcome, Some(refusal.reason), 0);
@@ -151,17 +158,20 @@
     let OpenedResponse { head, framing, first, body, attempt } = opened;
     let rest = attempt::collect_body(body, request.deadline).await;
     let rest = rest.map_err(|it| body_failed(request, progress, &attempt, it))?;
-    attempt.finish();
-    record_end(progress, framing, BodyEnd::Whole);
     let bytes = if rest.is_empty() { first } else { Bytes::from([first, rest].concat()) };
-    Ok(Served::Buffered(caller_response(head, bytes)))
+    let end = upstream_response::body_end(&head, framing, &bytes);
+    if end == BodyEnd::BrokenOff {
+        return Err(body_failed(request, progress, &attempt, Failure::Broke));
+    }
+    attempt.finish();
+    Ok(Served::Buffered(caller_response(progress, head, bytes, framing, end)))
 }
 
 /// Buffers the response, retrying server errors where the route allows it. If no retry succeeds,
 /// the caller gets the last server error that an endpoint returned.
 async fn serve_buffered(
     gateway: &Arc<Gateway>,
-    request: &Request,
+    request: &Arc<Request>,
     progress: &mut RequestProgress,
 ) -> Result<Served, Refusal> {
     let mut server_error = None;
@@ -182,12 +192,16 @@
                 continue;
             }
         };
+        let end = upstream_response::body_end(&head, framing, &bytes);
+        if end == BodyEnd::BrokenOff {
+            record_failure(gateway, request, progress, &attempt, Failure::Broke);
+            continue;
+        }
         attempt.record_first_byte(upstream_response::reported_load(
             &head.headers,
             &gateway.header_names.load,
         ));
         progress.first_byte_ms = Some(clock::elapsed_ms(request.arrived));
-        record_end(progress, framing, BodyEnd::Whole);
         let endpoint = attempt.chosen.id.clone();
         let is_server_error = head.status.is_server_error();
         if is_server_error {
@@ -195,10 +209,15 @@
                 health.record_failure(clock::now_ms());
             }
             attempt.finish_failed();
+        } else if head.status.is_success() && end == BodyEnd::Unknown {
+            liveness::begin_settling(gateway, request, attempt.chosen.clone());
         } else {
             attempt.finish();
+            if head.status.is_success() {
+                suspects::record_success(gateway, request);
+            }
         }
-        let response = caller_response(head, bytes);
+        let response = caller_response(progress, head, bytes, framing, end);
         if !(is_server_error && request.route.retry_safety.allows_resend()) {
             return Ok(Served::Buffered(response));
         }
@@ -207,13 +226,6 @@
     }
 }
 
-/// Records how a buffered response ended and what the caller is told of it.
-fn record_end(progress: &mut RequestProgress, framing: Framing, end: BodyEnd) {
-    progress.upstream_framing = Some(framing);
-    progress.upstream_end = Some(end);
-    progress.caller_framing = Some(Framing::Length);
-}
-
 /// Records that an error response broke off; returns the refusal for the caller.
 fn body_failed(
     request: &Request,
@@ -225,11 +237,36 @@
     Refusal::unknown(Reason::EndpointBroke)
 }
 
-/// The response to the caller: hop-by-hop headers are removed and the length is set.
-fn caller_response(head: response::Parts, bytes: Bytes) -> Response<ResponseBody> {
+/// The response to the caller, without headers of the endpoint's connection. Its framing claims no
+/// more than is known of the body's end.
+fn caller_response(
+    progress: &mut RequestProgress,
+    head: response::Parts,
+    bytes: Bytes,
+    framing: Framing,
+    end: BodyEnd,
+) -> Response<ResponseBody> {
+    let caller_framing = match (framing, end) {
+        (Framing::NoBody, _) => Framing::NoBody,
+        (_, BodyEnd::Whole) => Framing::Length,
+        (_, BodyEnd::Unknown | BodyEnd::BrokenOff) => Framing::UntilClose,
+    };
+    progress.upstream_framing = Some(framing);
+    progress.upstream_end = Some(end);
+    progress.caller_framing = Some(caller_framing);
     let length = bytes.len();
-    let mut response = Response::from_parts(head, ResponseBody::buffered(bytes));
+    let body = match caller_framing {
+        Framing::UntilClose => ResponseBody::buffered_until_close(bytes),
+        _ => ResponseBody::buffered(bytes),
+    };
+    let mut response = Response::from_parts(head, body);
     upstream_response::strip_hop_by_hop(response.headers_mut());
-    response.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(length));
+    match caller_framing {
+        Framing::UntilClose => end_with_connection(&mut response),
+        Framing::Length | Framing::Chunked => {
+            response.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(length));
+        }
+        Framing::NoBody => {}
+    }
     response
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod admit;
 mod attempt;
 mod backoff;
+mod caller_stream;
 mod clock;
 mod connection;
 mod exchange;
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -9,9 +9,9 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use tanagergauge_core::{Name, selection::SelectedEndpoint};
+use tanagergauge_core::{Name, selection::SelectedEndpoint, send_history::Failure};
 
-use crate::{clock, gateway::Gateway, suspects};
+use crate::{attempt, clock, gateway::Gateway, request::Request, suspects};
 
 /// Endpoints whose liveness is being checked.
 #[derive(Debug, Default)]
@@ -34,6 +34,38 @@
     }
 }
 
+/// Checks in the background, as [`is_there`], whether the endpoint of a response that may be whole
+/// or not is still there. If it is gone, the response was broken off.
+pub(crate) fn begin_settling(
+    gateway: &Arc<Gateway>,
+    request: &Arc<Request>,
+    endpoint: SelectedEndpoint,
+) {
+    let (gateway, request) = (Arc::clone(gateway), Arc::clone(request));
+    tokio::spawn(async move {
+        if !is_there(&gateway, &request, &endpoint).await {
+            attempt::record_failure(&gateway, &request, &endpoint, Failure::Broke);
+        }
+    });
+}
+
+/// Whether an endpoint is still there after a response that may be whole or not. If so, the response
+/// counts in favor of endpoint and request, and the connection is kept for the next request, as the
+/// response used one up.
+pub(crate) async fn is_there(
+    gateway: &Gateway,
+    request: &Request,
+    endpoint: &SelectedEndpoint,
+) -> bool {
+    let Ok(connection) = gateway.pool.connect(endpoint.address).await else { return false };
+    gateway.pool.put(&endpoint.id, connection, None);
+    if let Some(health) = gateway.balancer().health_mut(&endpoint.id) {
+        health.record_success(clock::now_ms());
+    }
+    suspects::record_success(gateway, request);
+    true
+}
+
 async fn check(gateway: Arc<Gateway>, endpoint: Name, address: SocketAddr) {
     let connected = gateway.pool.connect(address).await;
     gateway.liveness_checks.lock().remove(&endpoint);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,6 +26,7 @@
 use crate::{
     attempt::{self, Attempt},
     gateway::Gateway,
+    liveness,
     progress::RequestProgress,
     request::Request,
     retry::{OpenedResponse, open_response},
@@ -53,9 +54,14 @@
 /// Sends the request to another endpoint; the response is absent if that fails.
 type Resuming = Pin<Box<dyn Future<Output = (RequestProgress, Option<OpenedResponse>)> + Send>>;
 
+/// Checks whether the endpoint of a stream is still there.
+type Settling = Pin<Box<dyn Future<Output = bool> + Send>>;
+
 enum State {
     /// An endpoint streams the response.
     Streaming(Box<Upstream>),
+    /// The stream may be whole or not; whether its endpoint is still there is being checked.
+    Settling(Box<Upstream>, Settling),
     /// Another endpoint is asked to continue the stream.
     Resuming(Resuming),
     /// Fails at the next poll, so that the server first writes what was forwarded.
@@ -68,6 +74,7 @@
 
 /// The response of one endpoint.
 struct Upstream {
+    framing: Framing,
     body: Incoming,
     attempt: Attempt,
 }
@@ -96,8 +103,8 @@
 }
 
 impl State {
-    fn streaming(body: Incoming, attempt: Attempt) -> State {
-        State::Streaming(Box::new(Upstream { body, attempt }))
+    fn streaming(framing: Framing, body: Incoming, attempt: Attempt) -> State {
+        State::Streaming(Box::new(Upstream { framing, body, attempt }))
     }
 }
 
@@ -110,12 +117,11 @@
         opened: OpenedResponse,
     ) -> Relay {
         progress.upstream_framing = Some(opened.framing);
-        progress.caller_framing = Some(Framing::Chunked);
         let framer = request.route.retry_safety.allows_resend().then(SseFramer::default);
         let mut relay = Relay {
             gateway,
             progress,
-            state: State::streaming(opened.body, opened.attempt),
+            state: State::streaming(opened.framing, opened.body, opened.attempt),
             first: Some(opened.first),
             framer,
             is_event_stream: upstream_response::is_event_stream(&opened.head.headers),
@@ -142,6 +148,12 @@
                     self.state = State::Done;
                     return Poll::Ready(Some(Err(BodyAborted)));
                 }
+                State::Settling(_, settling) => {
+                    let is_there = ready!(settling.as_mut().poll(cx));
+                    if let Some(ended) = self.settled(is_there, cx) {
+                        return ended;
+                    }
+                }
                 State::Resuming(resuming) => {
                     let (progress, opened) = ready!(resuming.as_mut().poll(cx));
                     self.continue_with(progress, opened, cx);
@@ -152,7 +164,12 @@
                 State::Streaming(..) => match ready!(self.poll_upstream(cx)) {
                     Step::Bytes(bytes) if bytes.is_empty() => {}
                     Step::Bytes(bytes) => return Poll::Ready(Some(Ok(bytes))),
-                    Step::End => return Poll::Ready(self.end()),
+                    Step::End => return Poll::Ready(self.end(BodyEnd::Whole)),
+                    Step::UnknownEnd if self.framer.is_some() => self.settle(),
+                    Step::UnknownEnd => {
+                        self.begin_settling();
+                        return Poll::Ready(self.end(BodyEnd::Unknown));
+                    }
                     Step::Failed(failure) => {
                         self.handle_failure(failure, cx);
                         if matches!(self.state, State::Aborting) {
@@ -169,10 +186,12 @@
             return Poll::Ready(Step::Bytes(self.forwardable(first)));
         }
         let State::Streaming(upstream) = &mut self.state else { return Poll::Ready(Step::End) };
+        let shows_end = upstream.framing.shows_end();
         match Pin::new(&mut upstream.body).poll_frame(cx) {
             Poll::Ready(None) if self.is_inside_event() => {
                 Poll::Ready(Step::Failed(Failure::Broke))
             }
+            Poll::Ready(None) if !shows_end => Poll::Ready(Step::UnknownEnd),
             Poll::Ready(None) => Poll::Ready(Step::End),
             Poll::Ready(Some(Err(_))) => Poll::Ready(Step::Failed(Failure::Broke)),
             Poll::Ready(Some(Ok(frame))) => {
@@ -247,23 +266,58 @@
         self.is_event_stream && !at_event_end
     }
 
-    /// Ends a stream that was received completely; returns the bytes that were held back.
-    fn end(&mut self) -> Option<Result<Bytes, BodyAborted>> {
+    /// Ends a stream whose connection brought no error; returns the bytes that were held back.
+    fn end(&mut self, end: BodyEnd) -> Option<Result<Bytes, BodyAborted>> {
         let state = std::mem::replace(&mut self.state, State::Done);
-        if let State::Streaming(upstream) = state {
-            upstream.attempt.finish();
+        if end == BodyEnd::Whole {
+            if let State::Streaming(upstream) = state {
+                upstream.attempt.finish();
+            }
+            suspects::record_success(&self.gateway, &self.request);
         }
-        suspects::record_success(&self.gateway, &self.request);
-        self.progress.upstream_end = Some(BodyEnd::Whole);
+        self.progress.upstream_end = Some(end);
         self.report(Outcome::Answered, None);
         let rest = self.framer.as_mut().map(SseFramer::take_partial).unwrap_or_default();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
+    /// Checks in the background whether the endpoint is still there.
+    fn begin_settling(&self) {
+        if let State::Streaming(upstream) = &self.state {
+            let chosen = upstream.attempt.chosen.clone();
+            liveness::begin_settling(&self.gateway, &self.request, chosen);
+        }
+    }
+
+    /// Checks whether the endpoint is still there, before a stream that can be resumed ends.
+    fn settle(&mut self) {
+        let state = std::mem::replace(&mut self.state, State::Transition);
+        let State::Streaming(upstream) = state else { return };
+        let (gateway, request) = (Arc::clone(&self.gateway), Arc::clone(&self.request));
+        let chosen = upstream.attempt.chosen.clone();
+        let settling = async move { liveness::is_there(&gateway, &request, &chosen).await };
+        self.state = State::Settling(upstream, Box::pin(settling));
+    }
+
+    /// Ends the stream if its endpoint is still there and the caller was not promised to be told
+    /// whether it is whole; else another endpoint is asked to continue after the last event.
+    fn settled(
+        &mut self,
+        is_there: bool,
+        cx: &mut Context<'_>,
+    ) -> Option<Poll<Option<Result<Bytes, BodyAborted>>>> {
+        let shows_end = self.progress.caller_framing.is_none_or(Framing::shows_end);
+        if is_there && !shows_end {
+            return Some(Poll::Ready(self.end(BodyEnd::Unknown)));
+        }
+        self.handle_failure(if is_there { Failure::EndUnknown } else { Failure::Broke }, cx);
+        matches!(self.state, State::Aborting).then_some(Poll::Pending)
+    }
+
     /// Resumes the stream at another endpoint after a failure, or aborts it.
     fn handle_failure(&mut self, failure: Failure, cx: &mut Context<'_>) {
         let state = std::mem::replace(&mut self.state, State::Transition);
-        if let State::Streaming(upstream) = state {
+        if let State::Streaming(upstream) | State::Settling(upstream, _) = state {
             let chosen = &upstream.attempt.chosen;
             attempt::record_failure(&self.gateway, &self.request, chosen, failure);
             self.progress.attempt_failed(&self.request, &chosen.id, failure);
@@ -317,7 +371,7 @@
                 self.progress.upstream_framing = Some(opened.framing);
                 self.first = Some(opened.first);
                 self.last_data = Instant::now();
-                self.state = State::streaming(opened.body, opened.attempt);
+                self.state = State::streaming(opened.framing, opened.body, opened.attempt);
                 self.reset_timer();
             }
             None => self.abort(Failure::Broke, cx),
@@ -356,6 +410,9 @@
 /// Result of polling an endpoint's response.
 enum Step {
     Bytes(Bytes),
+    /// The response is whole.
     End,
+    /// The response may be whole or not.
+    UnknownEnd,
     Failed(Failure),
 }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -7,9 +7,9 @@
 
 use bytes::Bytes;
 use hyper::{
-    Response, StatusCode,
+    Response, StatusCode, Version,
     body::{Body, Frame, SizeHint},
-    header::{CONTENT_LENGTH, HeaderValue, RETRY_AFTER},
+    header::{CONNECTION, CONTENT_LENGTH, HeaderValue, RETRY_AFTER},
 };
 use tanagergauge_core::{Outcome, Reason};
 
@@ -19,10 +19,21 @@
 pub(crate) enum ResponseBody {
     /// Sent at once; `None` if it is empty or was sent.
     Buffered(Option<Bytes>),
+    /// Sent at once, and ends with the connection; `None` if it is empty or was sent.
+    BufferedUntilClose(Option<Bytes>),
     /// Forwarded as it arrives from an endpoint.
     Streamed(Box<Relay>),
 }
 
+/// Makes a response end with its connection: without framing, it does not say whether it is whole.
+pub(crate) fn end_with_connection(response: &mut Response<ResponseBody>) {
+    // hyper omits the framing in this version only; the caller's socket writes the regular one.
+    *response.version_mut() = Version::HTTP_10;
+    let headers = response.headers_mut();
+    headers.remove(CONTENT_LENGTH);
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 /// A request that ends without an endpoint's response.
 #[derive(Clone, Debug)]
 pub(crate) struct Refusal {
@@ -83,6 +94,11 @@
     pub(crate) fn buffered(bytes: Bytes) -> ResponseBody {
         ResponseBody::Buffered((!bytes.is_empty()).then_some(bytes))
     }
+
+    /// The same for a body that ends with its connection.
+    pub(crate) fn buffered_until_close(bytes: Bytes) -> ResponseBody {
+        ResponseBody::BufferedUntilClose((!bytes.is_empty()).then_some(bytes))
+    }
 }
 
 impl Body for ResponseBody {
@@ -94,7 +110,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         match self.get_mut() {
-            ResponseBody::Buffered(bytes) => {
+            ResponseBody::Buffered(bytes) | ResponseBody::BufferedUntilClose(bytes) => {
                 Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it))))
             }
             ResponseBody::Streamed(relay) => {
@@ -112,7 +128,7 @@
             ResponseBody::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |it| it.len() as u64))
             }
-            ResponseBody::Streamed(_) => SizeHint::default(),
+            ResponseBody::BufferedUntilClose(_) | ResponseBody::Streamed(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -61,6 +61,11 @@
         let deadline = attempt_deadline(gateway, request, progress);
         let first = match timeout_at(deadline, first_bytes(&mut body)).await {
             Ok(Some(first)) if !(first.is_empty() && is_cut_before_events(&head, framing)) => first,
+            // Nothing may be left to send after the event at which the stream goes on.
+            Ok(Some(_)) if last_event_id.is_some() => {
+                record_failure(gateway, request, progress, &attempt, Failure::EndUnknown);
+                continue;
+            }
             Ok(_) => {
                 record_failure(gateway, request, progress, &attempt, Failure::Broke);
                 continue;
@@ -234,7 +239,7 @@
         Some(Failure::Refused | Failure::Replaced) => Reason::EndpointRefused,
         Some(Failure::Silent) => Reason::EndpointTimeout,
         Some(Failure::BadAnswer) => Reason::BadAnswer,
-        Some(Failure::Broke | Failure::Failed) => Reason::EndpointBroke,
+        Some(Failure::Broke | Failure::Failed | Failure::EndUnknown) => Reason::EndpointBroke,
         None => Reason::NoEndpoint,
     };
     if progress.send_history.may_have_run > 0 {
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -64,7 +64,8 @@
         | Failure::Replaced
         | Failure::Silent
         | Failure::BadAnswer
-        | Failure::Failed => {}
+        | Failure::Failed
+        | Failure::EndUnknown => {}
     }
 }
 
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -9,7 +9,11 @@
     },
     http::response,
 };
-use tanagergauge_core::{body_end::Framing, endpoint::ServerLoad, send_history::Failure};
+use tanagergauge_core::{
+    body_end::{BodyEnd, Framing},
+    endpoint::ServerLoad,
+    send_history::Failure,
+};
 
 use crate::{header_names::HeaderNames, request::Request};
 
@@ -97,6 +101,12 @@
     content_type.get(..name.len()).is_some_and(|it| it.eq_ignore_ascii_case(name))
 }
 
+/// What is known of the end of a body that was read completely.
+pub(crate) fn body_end(head: &response::Parts, framing: Framing, body: &[u8]) -> BodyEnd {
+    let content_type = head.headers.get(CONTENT_TYPE).map_or(&b""[..], |it| it.as_bytes());
+    BodyEnd::of_body(framing, content_type, body)
+}
+
 /// How a response to a request with `method` says where its body ends.
 pub(crate) fn framing(head: &response::Parts, method: &Method) -> Framing {
     let has_no_body = method == Method::HEAD
