--- a/crates/core/src/body_end.rs
+++ b/crates/core/src/body_end.rs
@@ -33,6 +33,17 @@
 }
 
 impl Framing {
+    /// The framing that headers tell: the last `Transfer-Encoding`, if any, and whether there is a
+    /// length. A transfer coding goes before a length; unless the last one is `chunked`, the body
+    /// ends with its connection.
+    pub fn of_headers(transfer_encoding: Option<&[u8]>, has_length: bool) -> Framing {
+        match transfer_encoding {
+            Some(codings) if ends_with_chunked(codings) => Framing::Chunked,
+            None if has_length => Framing::Length,
+            Some(_) | None => Framing::UntilClose,
+        }
+    }
+
     /// Whether the framing shows that a body is whole.
     pub fn shows_end(self) -> bool {
         self != Framing::UntilClose
@@ -67,6 +78,11 @@
     }
 }
 
+fn ends_with_chunked(codings: &[u8]) -> bool {
+    let last = codings.rsplit(|it| *it == b',').next().unwrap_or_default();
+    last.trim_ascii().eq_ignore_ascii_case(b"chunked")
+}
+
 /// Whether a content type is that of a JSON document.
 fn is_json(content_type: &[u8]) -> bool {
     let media_type = content_type.split(|it| *it == b';').next().unwrap_or_default();
--- a/crates/core/tests/body_end.rs
+++ b/crates/core/tests/body_end.rs
@@ -32,6 +32,21 @@
     what_is_no_document_says_nothing: UntilClose, JSON, b"{'a'}" => Unknown;
 }
 
+#[test]
+fn only_a_last_coding_of_chunks_goes_before_a_length() {
+    let framings = [
+        (Some(&b"chunked"[..]), true, Framing::Chunked),
+        (Some(b"gzip, Chunked "), false, Framing::Chunked),
+        (Some(b"chunked, gzip"), true, Framing::UntilClose),
+        (Some(b"identity"), true, Framing::UntilClose),
+        (None, true, Framing::Length),
+        (None, false, Framing::UntilClose),
+    ];
+    for (transfer_encoding, has_length, framing) in framings {
+        assert_eq!(Framing::of_headers(transfer_encoding, has_length), framing);
+    }
+}
+
 quickcheck! {
     fn no_beginning_of_a_document_is_whole(texts: Vec<String>, cut: usize) -> bool {
         let document = format!("{texts:?}");
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, de::IgnoredAny};
 use tanagergauge_core::{
     Name, Outcome, Reason,
+    body_end::Framing,
     sheet::{Endpoint, TargetKind},
 };
 use tokio::time::timeout;
@@ -154,7 +155,9 @@
 
 /// A body that ends where the connection does looks whole wherever it is cut.
 fn tells_its_end(map: &HeaderMap, body: &Incoming) -> bool {
-    body.size_hint().exact().is_some() || map.contains_key(TRANSFER_ENCODING)
+    let transfer_encoding = map.get_all(TRANSFER_ENCODING).iter().next_back();
+    let has_length = body.size_hint().exact().is_some();
+    Framing::of_headers(transfer_encoding.map(|it| it.as_bytes()), has_length).shows_end()
 }
 
 async fn collect(body: Incoming, limit_bytes: usize) -> Result<Bytes, Failure> {
--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -233,6 +233,8 @@
 
 no_answer_at_all! {
     an_answer_whose_end_cannot_be_told: b"HTTP/1.1 200 OK\r\n\r\n{}", BadAnswer;
+    an_answer_with_a_coding_that_does_not_tell_its_end:
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n{}", BadAnswer;
     an_answer_shorter_than_it_says:
         b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}", EndpointBroke;
     an_answer_that_is_no_http: b"\x00\xff what\r\n\r\n", EndpointBroke;
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -115,19 +115,11 @@
     if has_no_body {
         return Framing::NoBody;
     }
-    // A transfer coding goes before a length; unless the last one is `chunked`, the body ends with
-    // its connection.
-    match head.headers.get_all(TRANSFER_ENCODING).iter().next_back() {
-        Some(codings) if ends_with_chunked(codings.as_bytes()) => Framing::Chunked,
-        Some(_) => Framing::UntilClose,
-        None if head.headers.contains_key(CONTENT_LENGTH) => Framing::Length,
-        None => Framing::UntilClose,
-    }
-}
-
-fn ends_with_chunked(codings: &[u8]) -> bool {
-    let last = codings.rsplit(|it| *it == b',').next().unwrap_or_default();
-    last.trim_ascii().eq_ignore_ascii_case(b"chunked")
+    let transfer_encoding = head.headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    Framing::of_headers(
+        transfer_encoding.map(|it| it.as_bytes()),
+        head.headers.contains_key(CONTENT_LENGTH),
+    )
 }
 
 /// Removes headers that apply to the connection to the endpoint.
