--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -210,6 +210,8 @@
     let result = store.changes(topic, from, wait).await;
     follower.record_call(topic, &result);
     let changes = result?;
+    let era = changes.era;
+    tracing::debug!(%topic, from, records = changes.records.len(), era, "changes read");
     let next = changes.next.max(from);
     let (gateway, decoders) = (&follower.gateway, &follower.decoders);
     follower.view().apply_changes(gateway, decoders, topic, changes.records, next);
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -253,7 +253,7 @@
     }
     let records = response.endpoints;
     if response.endpoints_are_all {
-        let snapshot = Snapshot { records, end: known.endpoints_end };
+        let snapshot = Snapshot { records, end: known.endpoints_end, era: None };
         view.apply_snapshot(gateway, decoders, Topic::Endpoints, snapshot);
     } else {
         view.apply_changes(gateway, decoders, Topic::Endpoints, records, known.endpoints_end);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -26,6 +26,8 @@
     /// Offset at which to continue with [`Store::changes`]; `records` includes every earlier
     /// change.
     pub end: u64,
+    /// Era of the store's history, if the store told it.
+    pub era: Option<u64>,
 }
 
 /// Consecutive records of a topic.
@@ -35,6 +37,8 @@
     pub records: Vec<Record>,
     /// Offset at which to continue reading.
     pub next: u64,
+    /// Era of the store's history, if the store told it.
+    pub era: Option<u64>,
 }
 
 /// Why a call to the store failed.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -90,7 +90,7 @@
         topic: Topic,
         snapshot: Snapshot,
     ) {
-        let Snapshot { records, end } = snapshot;
+        let Snapshot { records, end, era } = snapshot;
         let known = self.log_mut(topic);
         let is_first = known.end().is_none();
         let missing = if end >= known.end().unwrap_or(0) {
@@ -106,7 +106,10 @@
             self.apply(gateway, decoders, topic, record, report);
         }
         if is_first && topic == Topic::Endpoints {
-            tracing::info!(endpoints = count, end, "list of endpoints read");
+            tracing::info!(endpoints = count, end, era, "list of endpoints read");
+        } else {
+            let known_end = self.end(topic);
+            tracing::info!(%topic, records = count, end, known_end, era, "snapshot read");
         }
         self.log_mut(topic).advance_to(end);
     }
