Compare offsets of the store only within an era

Cause: an offset was taken for a position for all time. After a restore the same number means another record.

Why this works: each topic knows the era of its history (store_era). An answer of a later era, or a history that ends before the known one where the store tells no era, begins a new one, read as a whole; an answer of an earlier era has no effect. Peers send era and offset together, and complete lists across eras. The configuration goes by its version in any era, and peers pass on the one in force, which the store may have lost. Reports of endpoints have numbers, so that a copy's old entry of an endpoint that left, is leaving or moved changes nothing (endpoint_reports); one that is missing has the grace of an outage. Registrations are written again.

Wire between instances: Position has three fields more; mixed versions do not read each other's reports.

--- a/crates/core/src/compacted_log.rs
+++ b/crates/core/src/compacted_log.rs
@@ -21,6 +21,8 @@
 /// The newest record of each key.
 #[derive(Clone, Debug, Default)]
 pub struct CompactedLog {
+    /// Era of the history that all offsets belong to; 0 before anything was read.
+    era: u64,
     /// All records before this offset were applied; 0 before any was.
     end: u64,
     /// No tombstone from this offset on was forgotten, so a reader that applied everything before
@@ -84,6 +86,16 @@
         (self.end > 0).then_some(self.end)
     }
 
+    /// Era of the history that all offsets belong to.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Forgets all records and begins another history, of which those before `end` are applied next.
+    pub fn begin_era(&mut self, era: u64, end: u64) {
+        *self = CompactedLog { era, end, changes_from: end, ..CompactedLog::default() };
+    }
+
     /// Notes that all records before `end` were applied.
     pub fn advance_to(&mut self, end: u64) {
         if self.end == 0 {
@@ -125,10 +137,18 @@
         live.map(|(key, _)| key).filter(|it| !listed.contains(it)).cloned().collect()
     }
 
+    /// How a reader that knows nothing of this history catches up, as [`Self::plan_catch_up`].
+    pub fn plan_complete(&self, has_store: bool) -> CatchUpPlan {
+        Self::plan(self.complete(), has_store)
+    }
+
     /// How a reader that applied everything before `end` catches up. A reader without access to
     /// the store is sent all records, however many they are.
     pub fn plan_catch_up(&self, end: u64, has_store: bool) -> CatchUpPlan {
-        let catch_up = self.catch_up(end);
+        Self::plan(self.catch_up(end), has_store)
+    }
+
+    fn plan(catch_up: CatchUp, has_store: bool) -> CatchUpPlan {
         if has_store && catch_up.is_complete && catch_up.records.len() > MAX_COMPLETE_RECORDS {
             return CatchUpPlan::ReadStore;
         }
@@ -140,6 +160,10 @@
         if end >= self.changes_from {
             return CatchUp { records: self.changed_since(end), is_complete: false };
         }
+        self.complete()
+    }
+
+    fn complete(&self) -> CatchUp {
         let mut records = self.changed_since(0);
         records.retain(|it| it.value.is_some());
         CatchUp { records, is_complete: true }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
-use tanagergauge_core::store_reads::{FIRST_RESPONSE_WAIT_MS, HubUpdates};
+use tanagergauge_core::{
+    store_era::{EraChange, era_after_lost_history},
+    store_reads::{FIRST_RESPONSE_WAIT_MS, HubUpdates},
+};
 use tokio::time::{Instant, sleep_until};
 
 use crate::{
@@ -14,7 +17,7 @@
     gateway::Gateway,
     meters,
     request::{fraction, uniform_hash},
-    store::{Decoders, Store, StoreError, Topic},
+    store::{Changes, Decoders, Store, StoreError, Topic},
     view::StoreView,
 };
 
@@ -85,8 +88,10 @@
         meters::store_call(topic.into(), label);
         tracing::debug!(%topic, result = label, "store call ended");
         match result {
-            // The store responded, although the requested records are no longer retained.
-            Ok(_) | Err(StoreError::HistoryLost) => self.record_success(),
+            // The store responded, although it has no records at the requested offset.
+            Ok(_) | Err(StoreError::HistoryLost | StoreError::HistoryReplaced) => {
+                self.record_success();
+            }
             Err(error) => self.record_failure(topic, *error),
         }
     }
@@ -163,19 +168,21 @@
         let known_end = follower.view().end(topic).or(read_once.then_some(0));
         let end = known_end.filter(|_| !history_lost);
         let result = match end {
-            None => read_snapshot(follower, store, topic).await,
+            None => read_snapshot(follower, store, topic, history_lost).await,
             Some(from) => read_changes(follower, store, topic, from, wait).await,
         };
         match result {
             Ok(()) => {
-                history_lost = false;
                 backoff.reset();
                 next_read = last_read + interval;
+                if std::mem::take(&mut history_lost) {
+                    next_read = next_read.max(Instant::now() + INITIAL_BACKOFF);
+                }
                 if !std::mem::replace(&mut read_once, true) {
                     next_read = Instant::now() + Duration::from_millis(FIRST_RESPONSE_WAIT_MS);
                 }
             }
-            Err(StoreError::HistoryLost) => {
+            Err(StoreError::HistoryLost | StoreError::HistoryReplaced) if !history_lost => {
                 history_lost = true;
                 next_read = Instant::now();
             }
@@ -186,16 +193,27 @@
     }
 }
 
+/// Reads a topic as a whole; `history_lost` if the store had no records at the known end.
 async fn read_snapshot<S: Store>(
     follower: &StoreFollower,
     store: &S,
     topic: Topic,
+    history_lost: bool,
 ) -> Result<(), StoreError> {
     let result = store.snapshot(topic).await;
     follower.record_call(topic, &result);
-    let snapshot = result?;
+    let mut snapshot = result?;
     let (gateway, decoders) = (&follower.gateway, &follower.decoders);
-    follower.view().apply_snapshot(gateway, decoders, topic, snapshot);
+    let mut view = follower.view();
+    if history_lost {
+        let (known_era, known_end) = (view.era(topic), view.end(topic));
+        let era = era_after_lost_history(known_era, known_end, snapshot.era, snapshot.end);
+        snapshot.era = Some(era);
+    }
+    if !view.apply_snapshot(gateway, decoders, topic, snapshot) {
+        return Err(StoreError::Outdated);
+    }
+    drop(view);
     follower.confirm(topic);
     Ok(())
 }
@@ -207,15 +225,23 @@
     from: u64,
     wait: Duration,
 ) -> Result<(), StoreError> {
-    let result = store.changes(topic, from, wait).await;
+    let known_era = follower.view().era(topic);
+    let result = store.changes(topic, from, wait).await.and_then(|changes| {
+        match EraChange::of(known_era, changes.era) {
+            EraChange::None => Ok(changes),
+            EraChange::Began => Err(StoreError::HistoryReplaced),
+            EraChange::Outdated => Err(StoreError::Outdated),
+        }
+    });
     follower.record_call(topic, &result);
     let changes = result?;
-    let era = changes.era;
-    tracing::debug!(%topic, from, records = changes.records.len(), era, "changes read");
-    let next = changes.next.max(from);
+    tracing::debug!(%topic, from, records = changes.records.len(), era = changes.era, "changes read");
+    // A peer may have told of another era meanwhile; the offset belongs to the one before.
+    let changes = Changes { next: changes.next.max(from), era: Some(known_era), ..changes };
     let (gateway, decoders) = (&follower.gateway, &follower.decoders);
-    follower.view().apply_changes(gateway, decoders, topic, changes.records, next);
-    follower.confirm(topic);
+    if follower.view().apply_changes(gateway, decoders, topic, changes) {
+        follower.confirm(topic);
+    }
     Ok(())
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,8 @@
     suspects: Mutex<Suspects>,
     /// Notified when configuration or endpoints are updated.
     initialized: Notify,
+    /// Latest era of the store that was read; 0 if it tells none.
+    store_era: watch::Sender<u64>,
     /// When the list of endpoints was last known to be current; 0 before the first read.
     endpoints_confirmed_ms: AtomicU64,
 }
@@ -64,6 +66,7 @@
             admission: Mutex::default(),
             suspects: Mutex::new(suspects),
             initialized: Notify::new(),
+            store_era: watch::Sender::new(0),
             endpoints_confirmed_ms: AtomicU64::new(0),
             settings,
         }
@@ -117,6 +120,32 @@
         (at_ms > 0).then(|| clock::now_ms().saturating_sub(at_ms))
     }
 
+    /// Records the era of the store's history.
+    pub(crate) fn set_store_era(&self, era: u64) {
+        self.store_era.send_if_modified(|known| {
+            let is_later = era > *known;
+            *known = era.max(*known);
+            is_later
+        });
+    }
+
+    /// Latest era of the store that was read.
+    pub(crate) fn store_era(&self) -> u64 {
+        *self.store_era.borrow()
+    }
+
+    /// Waits until the store has come back from a copy since it was at the era `known`, or since the
+    /// first read if that is 0.
+    pub(crate) async fn wait_for_era_after(&self, known: u64) {
+        let mut era = self.store_era.subscribe();
+        let mut known = known;
+        if known == 0 {
+            // Cannot fail: the gateway owns the sender.
+            known = era.wait_for(|it| *it > 0).await.map_or(0, |it| *it);
+        }
+        let _ = era.wait_for(|it| *it > known).await;
+    }
+
     /// Whether a graceful stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
         *self.phase.borrow() != Phase::Serving
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -9,7 +9,7 @@
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use tanagergauge_core::{Name, Outcome, Reason, send_history::Failure};
 
-use crate::{clock, gateway::Gateway, logs};
+use crate::{clock, gateway::Gateway, logs, store::Topic};
 
 static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
 
@@ -41,6 +41,7 @@
         .set(gateway.configuration().map_or(0.0, |it| it.version as f64));
     gauge!("tanagergauge_endpoints_age_seconds")
         .set(gateway.endpoints_age_ms().map_or(-1.0, |it| it as f64 / 1000.0));
+    gauge!("tanagergauge_store_era").set(gateway.store_era() as f64);
     set_gauges(gateway);
     RECORDER.get().map(PrometheusHandle::render).unwrap_or_default()
 }
@@ -106,6 +107,11 @@
         .record(after.as_secs_f64());
 }
 
+/// Counts that the store came back from a copy, when a topic was read again.
+pub(crate) fn store_restored(topic: Topic) {
+    counter!("tanagergauge_store_restores_total", "topic" => <&str>::from(topic)).increment(1);
+}
+
 /// Counts a call to the store.
 pub(crate) fn store_call(topic: &'static str, result: &'static str) {
     counter!("tanagergauge_store_calls_total", "topic" => topic, "result" => result).increment(1);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -46,11 +46,18 @@
     pub(crate) limits: Vec<LimitUpdate>,
 }
 
-/// Offsets up to which an instance knows the store's topics; 0 if it has not read them.
+/// Up to where an instance knows the store's topics. Offsets are 0 if it has not read a topic, and can
+/// be compared only within an era of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Position {
     pub(crate) configuration_end: u64,
     pub(crate) endpoints_end: u64,
+    /// Era of `configuration_end`.
+    pub(crate) configuration_era: u64,
+    /// Era of `endpoints_end`.
+    pub(crate) endpoints_era: u64,
+    /// Version of the configuration in force; 0 if there is none.
+    pub(crate) configuration_version: u64,
 }
 
 /// Response to a report: what the receiver knows and the sender does not.
@@ -61,7 +68,7 @@
     pub(crate) instances: u32,
     /// Up to where the receiver knows the store's topics.
     pub(crate) known: Position,
-    /// Configuration records that the sender lacks.
+    /// Record of the configuration in force, if the sender has an older version.
     pub(crate) configuration: Vec<Record>,
     /// Endpoint records that the sender lacks.
     pub(crate) endpoints: Vec<Record>,
--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -4,12 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 use tanagergauge_core::{Name, roster::Peer};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     backoff::Backoff,
     clock,
     gateway::Gateway,
+    request::{fraction, uniform_hash},
     store::{Snapshot, Store, Topic},
 };
 
@@ -17,6 +18,8 @@
 const LOG_TARGET: &str = "tanagergauge_gateway::peers::sync";
 /// Interval at which the list of instances is read from the store.
 const ROSTER_INTERVAL: Duration = Duration::from_secs(20);
+/// Time within which all instances read the list after the store came back from a copy.
+const RESTORED_READ_SPREAD: Duration = Duration::from_secs(4);
 /// Delay after the first failed read or write of the list; doubles with each further failure.
 const INITIAL_ROSTER_BACKOFF: Duration = Duration::from_millis(500);
 /// Longest such delay. An instance without the list knows no hub, and reads the store by itself.
@@ -40,20 +43,28 @@
         availability_zone: settings.availability_zone.clone(),
         control_address: settings.control_listen,
     };
-    match serde_json::to_vec(&registration) {
-        Ok(value) => register(&gateway, &*store, &value).await,
+    let value = match serde_json::to_vec(&registration) {
+        Ok(value) => value,
         Err(error) => {
-            tracing::error!(target: LOG_TARGET, %error, "cannot encode the entry of this instance")
+            tracing::error!(target: LOG_TARGET, %error, "cannot encode the entry of this instance");
+            return;
         }
-    }
+    };
+    register(&gateway, &*store, &value).await;
     let mut backoff = Backoff::new(INITIAL_ROSTER_BACKOFF, MAX_ROSTER_BACKOFF);
     loop {
         gateway.suspects().expire(clock::unix_ms());
+        let era = gateway.store_era();
         match store.snapshot(Topic::Instances).await {
             Ok(snapshot) => {
+                let is_listed = snapshot.records.iter().any(|it| it.key == settings.instance);
                 update_roster(&gateway, snapshot);
                 backoff.reset();
-                sleep(ROSTER_INTERVAL).await;
+                if !is_listed {
+                    tracing::info!(target: LOG_TARGET, era, "the entry of this instance is missing; writing it again");
+                    register(&gateway, &*store, &value).await;
+                }
+                wait_for_next_read(&gateway, era).await;
             }
             Err(error) => {
                 tracing::debug!(target: LOG_TARGET, %error, "cannot read the list of instances; retrying");
@@ -63,6 +74,16 @@
     }
 }
 
+/// Waits until the list of instances is due, or some time after the store came back from a copy, which
+/// may lack this instance.
+async fn wait_for_next_read(gateway: &Gateway, known_era: u64) {
+    let came_back = timeout(ROSTER_INTERVAL, gateway.wait_for_era_after(known_era)).await;
+    if came_back.is_ok() {
+        let spread = fraction(uniform_hash(&gateway.settings.instance));
+        sleep(RESTORED_READ_SPREAD.mul_f64(spread)).await;
+    }
+}
+
 async fn register<S: Store>(gateway: &Gateway, store: &S, value: &[u8]) {
     let mut backoff = Backoff::new(INITIAL_ROSTER_BACKOFF, MAX_ROSTER_BACKOFF);
     while let Err(error) = store.put(Topic::Instances, &gateway.settings.instance, value).await {
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -59,7 +59,7 @@
     };
     let view = follower.view();
     let (mut position, mut age_ms) = (view.position(), gateway.endpoints_age_ms());
-    let catch_up = match view.plan_endpoint_catch_up(known.endpoints_end, report.has_store) {
+    let catch_up = match view.plan_endpoint_catch_up(known, report.has_store) {
         CatchUpPlan::Records(catch_up) => catch_up,
         CatchUpPlan::ReadStore => {
             position.endpoints_end = 0;
@@ -71,7 +71,7 @@
         loads,
         instances,
         known: position,
-        configuration: view.configuration_since(known.configuration_end),
+        configuration: view.configuration_newer_than(known.configuration_version),
         endpoints: catch_up.records,
         endpoints_are_all: catch_up.is_complete,
         age_ms: age_ms.unwrap_or(u64::MAX),
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -24,7 +24,7 @@
     clock,
     follow::StoreFollower,
     gateway::Gateway,
-    store::{Snapshot, Store, Topic},
+    store::{Changes, Snapshot, Store, Topic},
 };
 
 /// Time-out for a response of this zone's hub.
@@ -244,20 +244,20 @@
     let (gateway, decoders) = (follower.gateway(), follower.decoders());
     let mut view = follower.view();
     let known = response.known;
-    if known.configuration_end > 0 {
-        let (records, next) = (response.configuration, known.configuration_end);
-        view.apply_changes(gateway, decoders, Topic::Configuration, records, next);
-    }
+    view.apply_peer_configuration(gateway, decoders, response.configuration, known);
     if known.endpoints_end == 0 {
         return;
     }
-    let records = response.endpoints;
-    if response.endpoints_are_all {
-        let snapshot = Snapshot { records, end: known.endpoints_end, era: None };
-        view.apply_snapshot(gateway, decoders, Topic::Endpoints, snapshot);
+    let (records, end, era) = (response.endpoints, known.endpoints_end, known.endpoints_era);
+    let is_applied = if response.endpoints_are_all {
+        let snapshot = Snapshot { records, end, era: Some(era) };
+        view.apply_snapshot(gateway, decoders, Topic::Endpoints, snapshot)
     } else {
-        view.apply_changes(gateway, decoders, Topic::Endpoints, records, known.endpoints_end);
-    }
+        let changes = Changes { records, next: end, era: Some(era) };
+        view.apply_changes(gateway, decoders, Topic::Endpoints, changes)
+    };
     drop(view);
-    gateway.confirm_endpoints(response.age_ms);
+    if is_applied {
+        gateway.confirm_endpoints(response.age_ms);
+    }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -53,6 +53,10 @@
     Refused,
     /// Records from the requested offset on are no longer retained.
     HistoryLost,
+    /// The store came back from a copy, so that the requested offset means another record.
+    HistoryReplaced,
+    /// The response was given before the store came back from a copy.
+    Outdated,
     /// The response cannot be decoded.
     Unreadable,
 }
@@ -94,6 +98,8 @@
     pub leaving: bool,
     /// Start time of the endpoint's process as Unix milliseconds; 0 if unknown.
     pub incarnation: u64,
+    /// Number of the report since that start; 0 if unknown.
+    pub report_sequence: u64,
 }
 
 /// Why a record cannot be decoded.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,19 +1,22 @@
 //! Local copy of the configuration and endpoints topics, updated from the store or from peers.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{cmp::Ordering, collections::HashMap, sync::Arc};
 
 use bytes::Bytes;
 use tanagergauge_core::{
     Name,
-    compacted_log::{CatchUpPlan, CompactedLog, Record},
+    compacted_log::{CatchUp, CatchUpPlan, CompactedLog, Record},
     endpoint::{Distance, EndpointInfo},
+    endpoint_reports::{EndpointReports, KnownReport, ReportNumber},
+    store_era::EraChange,
 };
 
 use crate::{
     clock,
     gateway::Gateway,
+    meters,
     peers::Position,
-    store::{Decoders, EndpointEntry, Snapshot, Topic},
+    store::{Changes, Decoders, EndpointEntry, Snapshot, Topic},
     suspects,
 };
 
@@ -35,29 +38,57 @@
 pub(crate) struct StoreView {
     configuration: CompactedLog,
     endpoints: CompactedLog,
+    /// The configuration in force, which a store that came back from a copy may have lost.
+    in_force: Option<InForce>,
+    /// Newest reports of endpoints, to recognize older ones in such a copy.
+    reports: EndpointReports,
     /// Endpoints whose entries went missing during a store outage, and when they are removed.
     missing_until: HashMap<Name, u64>,
     /// Entries that disappear before this time are taken to have lapsed during a store outage.
     recovery_grace_until_ms: u64,
 }
 
+/// The configuration in force.
+#[derive(Clone, Debug)]
+struct InForce {
+    version: u64,
+    record: Record,
+}
+
 impl StoreView {
-    /// Offsets up to which the topics are known.
+    /// Up to where the topics are known.
     pub(crate) fn position(&self) -> Position {
         Position {
             configuration_end: self.configuration.end().unwrap_or(0),
             endpoints_end: self.endpoints.end().unwrap_or(0),
+            configuration_era: self.configuration.era(),
+            endpoints_era: self.endpoints.era(),
+            configuration_version: self.in_force.as_ref().map_or(0, |it| it.version),
         }
     }
 
-    /// Configuration records that changed at or after an offset.
-    pub(crate) fn configuration_since(&self, end: u64) -> Vec<Record> {
-        self.configuration.changed_since(end)
+    /// Record of the configuration in force, if its version is higher than a peer's. Versions count
+    /// in any era: the store may have lost the record.
+    pub(crate) fn configuration_newer_than(&self, version: u64) -> Vec<Record> {
+        let in_force = self.in_force.iter().filter(|it| it.version > version);
+        in_force.map(|it| it.record.clone()).collect()
     }
 
-    /// What a peer needs that knows the endpoints topic up to an offset.
-    pub(crate) fn plan_endpoint_catch_up(&self, end: u64, has_store: bool) -> CatchUpPlan {
-        self.endpoints.plan_catch_up(end, has_store)
+    /// What a peer needs that knows the endpoints topic up to a position.
+    pub(crate) fn plan_endpoint_catch_up(&self, known: Position, has_store: bool) -> CatchUpPlan {
+        match known.endpoints_era.cmp(&self.endpoints.era()) {
+            Ordering::Less => self.endpoints.plan_complete(has_store),
+            Ordering::Equal => self.endpoints.plan_catch_up(known.endpoints_end, has_store),
+            Ordering::Greater => CatchUpPlan::Records(CatchUp::default()),
+        }
+    }
+
+    /// Era of the history that a topic's offset belongs to.
+    pub(crate) fn era(&self, topic: Topic) -> u64 {
+        match topic {
+            Topic::Configuration => self.configuration.era(),
+            Topic::Endpoints | Topic::Instances => self.endpoints.era(),
+        }
     }
 
     /// Offset at which to continue reading a topic; `None` before the first read. The instances
@@ -82,51 +113,153 @@
     }
 
     /// Applies a snapshot. Keys that are missing from it are removed, unless it is older than what
-    /// is known.
+    /// is known. Returns false if it is of an earlier era, and then has no effect.
     pub(crate) fn apply_snapshot(
         &mut self,
         gateway: &Arc<Gateway>,
         decoders: &Decoders,
         topic: Topic,
         snapshot: Snapshot,
+    ) -> bool {
+        let (known_era, known_end) = (self.era(topic), self.end(topic));
+        let (count, end) = (snapshot.records.len(), snapshot.end);
+        let era = snapshot.era.unwrap_or(known_era);
+        match EraChange::of(known_era, snapshot.era) {
+            EraChange::Outdated => return false,
+            EraChange::Began if known_end.is_some() => {
+                tracing::warn!(%topic, era, known_era, end, known_end, records = count, "store came back from a copy");
+                meters::store_restored(topic);
+                self.apply_restored(gateway, decoders, topic, snapshot);
+                gateway.set_store_era(era);
+                return true;
+            }
+            EraChange::Began => self.log_mut(topic).begin_era(era, 0),
+            EraChange::None => {}
+        }
+        let report = match known_end {
+            None => ChangeReport::Batch,
+            Some(_) => ChangeReport::Each,
+        };
+        self.apply_newest(gateway, decoders, topic, snapshot, report);
+        if known_end.is_none() && topic == Topic::Endpoints {
+            tracing::info!(endpoints = count, end, era, "list of endpoints read");
+        } else {
+            tracing::info!(%topic, records = count, end, known_end, era, "snapshot read");
+        }
+        gateway.set_store_era(era);
+        true
+    }
+
+    /// Applies a snapshot of the known history.
+    fn apply_newest(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        decoders: &Decoders,
+        topic: Topic,
+        snapshot: Snapshot,
+        report: ChangeReport,
     ) {
-        let Snapshot { records, end, era } = snapshot;
+        let Snapshot { records, end, .. } = snapshot;
         let known = self.log_mut(topic);
-        let is_first = known.end().is_none();
         let missing = if end >= known.end().unwrap_or(0) {
-            let listed: Vec<Name> = records.iter().map(|it| it.key.clone()).collect();
-            known.keys_not_in(&listed)
+            known.keys_not_in(&keys(&records))
         } else {
             Vec::new()
         };
         let deletions = missing.into_iter().map(|key| Record { key, value: None, offset: end });
-        let count = records.len();
-        let report = if is_first { ChangeReport::Batch } else { ChangeReport::Each };
         for record in records.into_iter().chain(deletions) {
             self.apply(gateway, decoders, topic, record, report);
         }
-        if is_first && topic == Topic::Endpoints {
-            tracing::info!(endpoints = count, end, era, "list of endpoints read");
-        } else {
-            let known_end = self.end(topic);
-            tracing::info!(%topic, records = count, end, known_end, era, "snapshot read");
-        }
         self.log_mut(topic).advance_to(end);
     }
 
-    /// Applies records that follow those that are known.
-    pub(crate) fn apply_changes(
+    /// Applies what the store holds after it came back from a copy. Newer versions and reports than
+    /// the copy's stay in force. Endpoints whose entries it lacks have some time to write them again.
+    fn apply_restored(
         &mut self,
         gateway: &Arc<Gateway>,
         decoders: &Decoders,
         topic: Topic,
-        records: Vec<Record>,
-        next: u64,
+        snapshot: Snapshot,
     ) {
+        let Snapshot { records, end, era } = snapshot;
+        let missing = self.log_mut(topic).keys_not_in(&keys(&records));
+        self.log_mut(topic).begin_era(era.unwrap_or(0), end);
+        self.store_recovered();
         for record in records {
+            match self.known_report(decoders, topic, &record) {
+                None => self.apply(gateway, decoders, topic, record, ChangeReport::Each),
+                Some(KnownReport::Live(value)) => {
+                    self.missing_until.remove(&record.key);
+                    self.endpoints.put(Record { value: Some(value), ..record }, true);
+                }
+                Some(KnownReport::Gone) => {
+                    tracing::info!(endpoint = %record.key, "an endpoint that is gone is listed again");
+                    self.endpoints.put(Record { value: None, ..record }, true);
+                }
+            }
+        }
+        if topic == Topic::Endpoints {
+            for key in missing {
+                self.endpoint_removed(gateway, &key);
+            }
+        }
+    }
+
+    /// What is known of an endpoint in place of a copy's record, unless that is newer.
+    fn known_report(
+        &self,
+        decoders: &Decoders,
+        topic: Topic,
+        record: &Record,
+    ) -> Option<KnownReport> {
+        if topic != Topic::Endpoints {
+            return None;
+        }
+        let entry = (decoders.endpoint)(record.value.as_ref()?).ok()?;
+        self.reports.known(&record.key, report_number(&entry))
+    }
+
+    /// Applies records that follow those that are known. Returns false if they are of another era,
+    /// and then has no effect.
+    pub(crate) fn apply_changes(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        decoders: &Decoders,
+        topic: Topic,
+        changes: Changes,
+    ) -> bool {
+        if EraChange::of(self.era(topic), changes.era) != EraChange::None {
+            return false;
+        }
+        for record in changes.records {
             self.apply(gateway, decoders, topic, record, ChangeReport::Each);
         }
-        self.log_mut(topic).advance_to(next);
+        self.log_mut(topic).advance_to(changes.next);
+        true
+    }
+
+    /// Applies the configuration that a peer has in force, and up to where it knows the topic.
+    pub(crate) fn apply_peer_configuration(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        decoders: &Decoders,
+        records: Vec<Record>,
+        known: Position,
+    ) {
+        for record in &records {
+            self.apply_configuration(gateway, decoders, record);
+        }
+        if known.configuration_end == 0 {
+            return;
+        }
+        match known.configuration_era.cmp(&self.configuration.era()) {
+            Ordering::Less => {}
+            Ordering::Equal => self.configuration.advance_to(known.configuration_end),
+            Ordering::Greater => {
+                self.configuration.begin_era(known.configuration_era, known.configuration_end);
+            }
+        }
     }
 
     /// Applies a record unless a newer one of its key is known.
@@ -144,9 +277,7 @@
         }
         let is_change = match topic {
             Topic::Configuration => {
-                if let Some(value) = value {
-                    apply_configuration(gateway, decoders, key, value);
-                }
+                self.apply_configuration(gateway, decoders, &record);
                 true
             }
             Topic::Endpoints => self.apply_endpoint(gateway, decoders, key, value.as_ref(), report),
@@ -155,6 +286,30 @@
         self.log_mut(topic).put(record, is_change);
     }
 
+    /// Puts a configuration in force if its version is higher than the current one's.
+    fn apply_configuration(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        decoders: &Decoders,
+        record: &Record,
+    ) {
+        let Some(value) = &record.value else { return };
+        match (decoders.configuration)(&record.key, value) {
+            None => {}
+            Some(Ok(configuration)) => {
+                let version = configuration.version;
+                let newer = gateway.put_configuration(configuration);
+                if newer {
+                    self.in_force = Some(InForce { version, record: record.clone() });
+                }
+                tracing::info!(version, newer, "configuration read");
+            }
+            Some(Err(error)) => {
+                tracing::error!(%error, "configuration cannot be read; keeping the current one");
+            }
+        }
+    }
+
     /// Applies an endpoint's record. Returns whether it says more than that the endpoint is alive.
     fn apply_endpoint(
         &mut self,
@@ -171,6 +326,7 @@
         self.missing_until.remove(key);
         match (decoders.endpoint)(value) {
             Ok(entry) => {
+                self.reports.record(key, report_number(&entry), value);
                 let info = endpoint_info(gateway, key, entry);
                 let (leaving, service) = (info.leaving, info.service.clone());
                 if has_restarted(gateway, &info) {
@@ -206,7 +362,16 @@
             tracing::info!(endpoint = %key, "entry lapsed while the store was away");
             return;
         }
-        remove_endpoint(gateway, key);
+        self.remove_endpoint(gateway, key);
+    }
+
+    fn remove_endpoint(&mut self, gateway: &Arc<Gateway>, key: &Name) {
+        self.reports.record_gone(key, clock::now_ms());
+        suspects::record_endpoint_lost(gateway, key);
+        if gateway.balancer().remove(key) {
+            tracing::info!(endpoint = %key, "endpoint gone");
+        }
+        gateway.pool.close_endpoint(key);
     }
 
     /// Removes endpoints whose entries went missing and did not reappear within the grace period.
@@ -215,13 +380,11 @@
             return;
         }
         let now_ms = clock::now_ms();
-        self.missing_until.retain(|key, until_ms| {
-            let keep = now_ms < *until_ms;
-            if !keep {
-                remove_endpoint(gateway, key);
-            }
-            keep
-        });
+        let expired = self.missing_until.extract_if(|_, until_ms| now_ms >= *until_ms);
+        let expired: Vec<Name> = expired.map(|(key, _)| key).collect();
+        for key in expired {
+            self.remove_endpoint(gateway, &key);
+        }
     }
 }
 
@@ -230,26 +393,12 @@
     gateway.balancer().info(&info.id).is_some_and(|it| it.incarnation != info.incarnation)
 }
 
-fn remove_endpoint(gateway: &Arc<Gateway>, key: &Name) {
-    suspects::record_endpoint_lost(gateway, key);
-    if gateway.balancer().remove(key) {
-        tracing::info!(endpoint = %key, "endpoint gone");
-    }
-    gateway.pool.close_endpoint(key);
+fn keys(records: &[Record]) -> Vec<Name> {
+    records.iter().map(|it| it.key.clone()).collect()
 }
 
-fn apply_configuration(gateway: &Arc<Gateway>, decoders: &Decoders, key: &Name, value: &Bytes) {
-    match (decoders.configuration)(key, value) {
-        None => {}
-        Some(Ok(configuration)) => {
-            let version = configuration.version;
-            let newer = gateway.put_configuration(configuration);
-            tracing::info!(version, newer, "configuration read");
-        }
-        Some(Err(error)) => {
-            tracing::error!(%error, "configuration cannot be read; keeping the current one");
-        }
-    }
+fn report_number(entry: &EndpointEntry) -> ReportNumber {
+    ReportNumber { incarnation: entry.incarnation, sequence: entry.report_sequence }
 }
 
 /// Combines an endpoint's entry with its distance from this instance.
