Use an endpoint again that stays listed after the store came back

An endpoint whose entry lapsed in the lost seconds, and that reports again, has the copy's entry; the store writes nothing while only the report's number changes, so that it was taken for gone for good. It is now used once it is still listed when an entry without reports would have lapsed (three intervals; six seconds).

--- a/crates/core/src/compacted_log.rs
+++ b/crates/core/src/compacted_log.rs
@@ -180,6 +180,11 @@
         changed.map(record).collect()
     }
 
+    /// Value of a live key.
+    pub fn value(&self, key: &str) -> Option<&Bytes> {
+        self.entries.get(key)?.value.as_ref()
+    }
+
     /// Number of keys, tombstones included.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -147,7 +147,7 @@
     // From 0.5 to 1, so that the members of a zone do not read at the same time.
     let spread = 0.5 + 0.5 * fraction(uniform_hash(&follower.gateway.settings.instance));
     loop {
-        follower.view().expire_missing(&follower.gateway);
+        follower.view().end_waits(&follower.gateway, &follower.decoders);
         let now = Instant::now();
         let earliest = match follower.gateway.peers.hub_updates() {
             HubUpdates::Current => {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -24,6 +24,11 @@
 /// milliseconds. It may be alive and could not renew its entry.
 pub(crate) const MISSING_ENTRY_GRACE_MS: u64 = 2_000;
 
+/// How long an endpoint that is gone, and that a store lists again after it came back from a copy, is
+/// not used, in milliseconds. Unless it reports, its entry lapses before: after three of its reports
+/// were missed, 1.2 s apart.
+const LISTED_AGAIN_WAIT_MS: u64 = 6_000;
+
 /// How changes of endpoints are logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ChangeReport {
@@ -44,6 +49,9 @@
     reports: EndpointReports,
     /// Endpoints whose entries went missing during a store outage, and when they are removed.
     missing_until: HashMap<Name, u64>,
+    /// Endpoints that were gone and that the store's copy lists, and when they are used if it still
+    /// does.
+    listed_again_until: HashMap<Name, u64>,
     /// Entries that disappear before this time are taken to have lapsed during a store outage.
     recovery_grace_until_ms: u64,
 }
@@ -195,7 +203,9 @@
                 }
                 Some(KnownReport::Gone) => {
                     tracing::info!(endpoint = %record.key, "an endpoint that is gone is listed again");
-                    self.endpoints.put(Record { value: None, ..record }, true);
+                    let until_ms = clock::now_ms() + LISTED_AGAIN_WAIT_MS;
+                    self.listed_again_until.insert(record.key.clone(), until_ms);
+                    self.endpoints.put(record, true);
                 }
             }
         }
@@ -319,6 +329,7 @@
         value: Option<&Bytes>,
         report: ChangeReport,
     ) -> bool {
+        self.listed_again_until.remove(key);
         let Some(value) = value else {
             self.endpoint_removed(gateway, key);
             return true;
@@ -374,17 +385,18 @@
         gateway.pool.close_endpoint(key);
     }
 
-    /// Removes endpoints whose entries went missing and did not reappear within the grace period.
-    pub(crate) fn expire_missing(&mut self, gateway: &Arc<Gateway>) {
-        if self.missing_until.is_empty() {
-            return;
-        }
+    /// Removes endpoints whose entries went missing and did not reappear within the grace period, and
+    /// uses those again that stayed listed after the store came back from a copy.
+    pub(crate) fn end_waits(&mut self, gateway: &Arc<Gateway>, decoders: &Decoders) {
         let now_ms = clock::now_ms();
-        let expired = self.missing_until.extract_if(|_, until_ms| now_ms >= *until_ms);
-        let expired: Vec<Name> = expired.map(|(key, _)| key).collect();
-        for key in expired {
+        for key in take_ended(&mut self.missing_until, now_ms) {
             self.remove_endpoint(gateway, &key);
         }
+        for key in take_ended(&mut self.listed_again_until, now_ms) {
+            if let Some(value) = self.endpoints.value(&key).cloned() {
+                self.apply_endpoint(gateway, decoders, &key, Some(&value), ChangeReport::Each);
+            }
+        }
     }
 }
 
@@ -393,6 +405,11 @@
     gateway.balancer().info(&info.id).is_some_and(|it| it.incarnation != info.incarnation)
 }
 
+/// Removes the endpoints whose wait has ended.
+fn take_ended(waits: &mut HashMap<Name, u64>, now_ms: u64) -> Vec<Name> {
+    waits.extract_if(|_, until_ms| now_ms >= *until_ms).map(|(key, _)| key).collect()
+}
+
 fn keys(records: &[Record]) -> Vec<Name> {
     records.iter().map(|it| it.key.clone()).collect()
 }
