Let members tell a hub that the store turns away what they have read

Hubs ask those of other zones, but a zone may be the only one, or all hubs be turned away. Reports and responses share one type for this (StoreNews), applied by the same function.

--- a/crates/core/src/store_reads.rs
+++ b/crates/core/src/store_reads.rs
@@ -58,6 +58,11 @@
 /// Whether a hub reports to another zone's hub, and so gets records from it. Each pair of zones
 /// needs one report; a hub that cannot read the store needs the response of a hub that can.
 pub fn reports_to_zone(own_zone: &str, zone: &str, data_age_ms: Option<u64>) -> bool {
-    let is_behind = data_age_ms.is_none_or(|it| it >= BEHIND_AGE_MS);
+    let is_behind = data_age_ms.is_none_or(is_behind);
     zone > own_zone || (is_behind && zone != own_zone)
 }
+
+/// Whether a hub's store data is so old that others tell it what they know.
+pub fn is_behind(data_age_ms: u64) -> bool {
+    data_age_ms >= BEHIND_AGE_MS
+}
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -44,6 +44,24 @@
     pub(crate) suspects_received: LogPosition,
     /// Limits that endpoints named recently.
     pub(crate) limits: Vec<LimitUpdate>,
+    /// What the receiver lacks of the store's topics, if its own data was old at its last response.
+    pub(crate) store: Option<StoreNews>,
+}
+
+/// What one instance knows of the store's topics and another lacks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct StoreNews {
+    /// Up to where the topics are known with it.
+    pub(crate) known: Position,
+    /// Record of the configuration in force, if the other has an older version.
+    pub(crate) configuration: Vec<Record>,
+    /// Endpoint records that the other lacks.
+    pub(crate) endpoints: Vec<Record>,
+    /// `endpoints` is complete: other endpoints that the other knows are gone.
+    pub(crate) endpoints_are_all: bool,
+    /// Time since this list of endpoints was current, in milliseconds; `u64::MAX` if the other must
+    /// read the store itself.
+    pub(crate) age_ms: u64,
 }
 
 /// Up to where an instance knows the store's topics. Offsets are 0 if it has not read a topic, and can
@@ -66,17 +84,8 @@
     pub(crate) loads: Vec<EndpointLoad>,
     /// Number of instances that `loads` covers.
     pub(crate) instances: u32,
-    /// Up to where the receiver knows the store's topics.
-    pub(crate) known: Position,
-    /// Record of the configuration in force, if the sender has an older version.
-    pub(crate) configuration: Vec<Record>,
-    /// Endpoint records that the sender lacks.
-    pub(crate) endpoints: Vec<Record>,
-    /// `endpoints` is complete: other endpoints that the sender knows are gone.
-    pub(crate) endpoints_are_all: bool,
-    /// Time since the receiver's list of endpoints was current, in milliseconds; `u64::MAX` if the
-    /// sender must read the store itself.
-    pub(crate) age_ms: u64,
+    /// What the sender of the report lacks of the store's topics.
+    pub(crate) store: StoreNews,
     /// Suspects that the sender has not received yet.
     pub(crate) suspects: SuspectUpdates,
     /// Limits that endpoints named recently.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,6 +6,7 @@
 
 mod exchange;
 mod message;
+mod news;
 mod registration;
 mod serve;
 mod state;
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -1,12 +1,12 @@
 //! Handles peers' reports.
 
 use bytes::Bytes;
-use tanagergauge_core::{
-    compacted_log::{CatchUp, CatchUpPlan},
-    roster::Peer,
-};
+use tanagergauge_core::roster::Peer;
 
-use super::message::{SenderRole, SyncRequest, SyncResponse};
+use super::{
+    message::{SenderRole, SyncRequest, SyncResponse},
+    news,
+};
 use crate::{clock, follow::StoreFollower};
 
 /// Applies a report and returns the encoded response; `None` if the report cannot be decoded.
@@ -57,24 +57,13 @@
         known_suspects.merge(report.suspects);
         known_suspects.updates_since(report.suspects_received)
     };
-    let view = follower.view();
-    let (mut position, mut age_ms) = (view.position(), gateway.endpoints_age_ms());
-    let catch_up = match view.plan_endpoint_catch_up(known, report.has_store) {
-        CatchUpPlan::Records(catch_up) => catch_up,
-        CatchUpPlan::ReadStore => {
-            position.endpoints_end = 0;
-            age_ms = None;
-            CatchUp::default()
-        }
-    };
+    if let Some(store) = report.store {
+        news::apply(follower, store);
+    }
     SyncResponse {
         loads,
         instances,
-        known: position,
-        configuration: view.configuration_newer_than(known.configuration_version),
-        endpoints: catch_up.records,
-        endpoints_are_all: catch_up.is_complete,
-        age_ms: age_ms.unwrap_or(u64::MAX),
+        store: news::collect(follower, known, report.has_store),
         suspects,
         limits,
     }
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -12,10 +12,11 @@
     Name,
     load_reports::{self, EndpointLoad, LoadReports},
     roster::Roster,
-    store_reads::{HubUpdates, hub_updates},
+    store_reads::{HubUpdates, hub_updates, is_behind},
     update_log::SyncCursors,
 };
 
+use super::message::{Position, StoreNews};
 use crate::clock;
 
 /// State that an instance keeps about its peers.
@@ -46,6 +47,8 @@
     responded_ms: u64,
     /// Age of its store data at that time.
     data_age_ms: u64,
+    /// Up to where it knew the store's topics at that time.
+    known: Position,
     /// Number of instances that it is the hub of.
     members: usize,
 }
@@ -131,10 +134,19 @@
         self.suspect_cursors.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records a response of the hub of `members` instances, whose store data is `age_ms` old.
-    pub(crate) fn record_hub_response(&self, age_ms: u64, members: usize) {
+    /// Records what the hub of `members` instances responded of the store.
+    pub(crate) fn record_hub_response(&self, news: &StoreNews, members: usize) {
         let responded_ms = clock::now_ms().max(1);
-        *self.lock_hub() = HubStatus { responded_ms, data_age_ms: age_ms, members };
+        let (data_age_ms, known) = (news.age_ms, news.known);
+        *self.lock_hub() = HubStatus { responded_ms, data_age_ms, known, members };
+    }
+
+    /// Up to where the hub knows the store's topics, if its data is old.
+    pub(crate) fn hub_lacks(&self) -> Option<Position> {
+        let hub = *self.lock_hub();
+        // Without an end it only said that this instance must read the store itself.
+        let has_responded = hub.responded_ms > 0 && hub.known.endpoints_end > 0;
+        (has_responded && is_behind(hub.data_age_ms)).then_some(hub.known)
     }
 
     /// Records that this instance is the hub.
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -18,14 +18,9 @@
 use super::{
     exchange::{self, Exchange},
     message::{SenderRole, SyncRequest, SyncResponse},
-    registration,
-};
-use crate::{
-    clock,
-    follow::StoreFollower,
-    gateway::Gateway,
-    store::{Changes, Snapshot, Store, Topic},
+    news, registration,
 };
+use crate::{clock, follow::StoreFollower, gateway::Gateway, store::Store};
 
 /// Time-out for a response of this zone's hub.
 const ZONE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -102,15 +97,16 @@
 async fn report_to_hub(follower: &StoreFollower, hub: &Peer, members: usize) -> usize {
     let gateway = follower.gateway();
     let (loads, instances) = (gateway.balancer().local_loads(), 1);
-    let report = build_report(follower, &hub.name, SenderRole::Member, loads, instances);
+    let mut report = build_report(follower, &hub.name, SenderRole::Member, loads, instances);
+    report.request.store = gateway.peers.hub_lacks().map(|it| news::collect(follower, it, false));
     match exchange::send(gateway, &hub.name, hub.control, &report.request, ZONE_TIMEOUT).await {
         Some(Exchange { mut response, load_bytes }) => {
             apply_findings(gateway, &hub.name, &report, &mut response);
             gateway.peers.roster().record_success(&hub.name);
-            gateway.peers.record_hub_response(response.age_ms, members);
+            gateway.peers.record_hub_response(&response.store, members);
             gateway.peers.set_other_instances(response.instances);
             gateway.balancer().set_peer_loads(&response.loads, clock::now_ms());
-            apply_records(follower, response);
+            news::apply(follower, response.store);
             load_bytes
         }
         None => {
@@ -169,7 +165,7 @@
             let mut reports = gateway.peers.reports();
             reports.zones.put(&hub.zone, loads, response.instances, clock::now_ms());
             drop(reports);
-            apply_records(&follower, response);
+            news::apply(&follower, response.store);
             load_bytes
         }
         None => {
@@ -192,7 +188,7 @@
         let exchanged = exchange::send(gateway, &name, seed, &report.request, ZONE_TIMEOUT).await;
         if let Some(Exchange { mut response, .. }) = exchanged {
             apply_findings(gateway, &name, &report, &mut response);
-            apply_records(follower, response);
+            news::apply(follower, response.store);
         }
         if gateway.is_initialized() {
             return;
@@ -225,6 +221,7 @@
         suspects: suspects.suspects,
         suspects_received: cursors.received_from_peer,
         limits: gateway.balancer().limits().updates(clock::now_ms()),
+        store: None,
     };
     Report { request, suspects_sent: suspects.next }
 }
@@ -238,26 +235,3 @@
     gateway.peers.set_suspect_cursors(peer, cursors);
     gateway.suspects().merge(updates.suspects);
 }
-
-/// Applies the store records in a peer's response.
-fn apply_records(follower: &StoreFollower, response: SyncResponse) {
-    let (gateway, decoders) = (follower.gateway(), follower.decoders());
-    let mut view = follower.view();
-    let known = response.known;
-    view.apply_peer_configuration(gateway, decoders, response.configuration, known);
-    if known.endpoints_end == 0 {
-        return;
-    }
-    let (records, end, era) = (response.endpoints, known.endpoints_end, known.endpoints_era);
-    let is_applied = if response.endpoints_are_all {
-        let snapshot = Snapshot { records, end, era: Some(era) };
-        view.apply_snapshot(gateway, decoders, Topic::Endpoints, snapshot)
-    } else {
-        let changes = Changes { records, next: end, era: Some(era) };
-        view.apply_changes(gateway, decoders, Topic::Endpoints, changes)
-    };
-    drop(view);
-    if is_applied {
-        gateway.confirm_endpoints(response.age_ms);
-    }
-}
