Believe a long service time less the longer it was not measured

An average that gets no samples now approaches the shortest of the candidates, with a half-life of 1.5 s, and a sample after 3 s counts most. Two core tests failed before (never used in 20 s); an endpoint that stays slow is tried at most four times in 20 s.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -248,8 +248,10 @@
         let near: Vec<&Endpoint> =
             candidates.iter().filter(|it| affinity.allows(it, query.parts)).copied().collect();
         let candidates = if near.is_empty() { candidates } else { near };
-        let costs =
-            candidates.iter().map(|it| self.cost(it, query, &affinity, reserved_share, now_ms));
+        let shortest_service_ms =
+            candidates.iter().map(|it| it.service_ms).fold(f64::INFINITY, f64::min);
+        let context = CostContext { affinity, reserved_share, shortest_service_ms };
+        let costs = candidates.iter().map(|it| self.cost(it, query, &context, now_ms));
         let best = costs.min_by(|a, b| a.total_ms.total_cmp(&b.total_ms));
         best.map(|it| it.selected).ok_or(NoEndpoint::Exhausted)
     }
@@ -335,10 +337,10 @@
         &self,
         it: &Endpoint,
         query: &EndpointQuery<'_>,
-        affinity: &PrefixAffinity,
-        reserved_share: f64,
+        context: &CostContext,
         now_ms: u64,
     ) -> Cost {
+        let &CostContext { ref affinity, reserved_share, shortest_service_ms } = context;
         let rank = affinity.rank(it);
         let cached_tokens = it.cached_parts.cached_prefix_tokens(query.parts);
         // A preferred engine is taken to have the shared prefix, since peers send it there too.
@@ -349,7 +351,7 @@
         };
         let prefill_tokens = prompt_part::total_tokens(query.parts).saturating_sub(cached_tokens);
         let expected_ms = if query.parts.is_empty() {
-            self.service_ms(it, now_ms)
+            self.service_ms(it, shortest_service_ms, now_ms)
         } else {
             self.prefill_ms(it, prefill_tokens, now_ms)
         } + it.delay_ms(now_ms);
@@ -415,10 +417,10 @@
 
     /// Time until a request without a prompt gets its response; grows with the square of the
     /// endpoint's utilization.
-    fn service_ms(&self, it: &Endpoint, now_ms: u64) -> f64 {
+    fn service_ms(&self, it: &Endpoint, shortest_ms: f64, now_ms: u64) -> f64 {
         let requests = it.estimated_requests(self.peer_load(it, now_ms).0, now_ms);
         let slots = f64::from(it.info.slots.max(1));
-        it.service_ms * (1.0 + (requests / slots).powi(2))
+        it.believed_service_ms(shortest_ms, now_ms) * (1.0 + (requests / slots).powi(2))
     }
 
     fn distance_cost_ms(&self, distance: Distance) -> f64 {
@@ -475,7 +477,7 @@
         it.prefill_tokens = (it.prefill_tokens - f64::from(selected.prefill_tokens)).max(0.0);
         let expected_ms = selected.expected_ms - it.delay_ms(now_ms) + base_ms;
         it.record_delay(took_ms - expected_ms, now_ms);
-        it.record_service_time(took_ms);
+        it.record_service_time(took_ms, now_ms);
         if server_load.is_some() {
             it.server_load = server_load;
             it.server_load_ms = now_ms;
@@ -513,6 +515,15 @@
     }
 }
 
+/// What the costs of all candidates for a request depend on.
+struct CostContext {
+    affinity: PrefixAffinity,
+    /// Share of the service's engines that is reserved for latency-sensitive streams.
+    reserved_share: f64,
+    /// Shortest average service time of the candidates, in milliseconds.
+    shortest_service_ms: f64,
+}
+
 struct Cost {
     total_ms: f64,
     selected: SelectedEndpoint,
--- a/crates/core/src/endpoint.rs
+++ b/crates/core/src/endpoint.rs
@@ -13,6 +13,14 @@
 const DELAY_WEIGHT: f64 = 0.3;
 /// Weight of the newest sample in the average service time.
 const SERVICE_WEIGHT: f64 = 0.1;
+/// The same for a sample that comes long after the one before.
+const STALE_SERVICE_WEIGHT: f64 = 0.9;
+/// Time without samples after which the average service time counts less than a new sample, in
+/// milliseconds.
+const SERVICE_STALE_AFTER_MS: u64 = 3_000;
+/// Half-life, without new samples, of what an average service time exceeds the shortest one by, in
+/// milliseconds.
+const SERVICE_HALF_LIFE_MS: f64 = 1_500.0;
 /// Half-life of the average delay without new samples, in milliseconds.
 const DELAY_HALF_LIFE_MS: f64 = 1_500.0;
 /// Samples are capped at this value, in milliseconds.
@@ -83,6 +91,8 @@
     pub(crate) delay_updated_ms: u64,
     /// Moving average of the time that a request without a prompt takes.
     pub(crate) service_ms: f64,
+    /// When the newest sample of it came.
+    service_updated_ms: Option<u64>,
     pub(crate) server_load: Option<ServerLoad>,
     pub(crate) server_load_ms: u64,
     /// Sum of the loads that peers reported.
@@ -104,6 +114,7 @@
             delay_ms: 0.0,
             delay_updated_ms: 0,
             service_ms: initial_service_ms,
+            service_updated_ms: None,
             server_load: None,
             server_load_ms: 0,
             peer_load: Load::default(),
@@ -122,8 +133,25 @@
         self.delay_updated_ms = now_ms;
     }
 
-    pub(crate) fn record_service_time(&mut self, took_ms: f64) {
-        self.service_ms += SERVICE_WEIGHT * (took_ms.min(MAX_SAMPLE_MS) - self.service_ms);
+    pub(crate) fn record_service_time(&mut self, took_ms: f64, now_ms: u64) {
+        let is_stale = self
+            .service_updated_ms
+            .is_some_and(|it| now_ms.saturating_sub(it) >= SERVICE_STALE_AFTER_MS);
+        let weight = if is_stale { STALE_SERVICE_WEIGHT } else { SERVICE_WEIGHT };
+        self.service_ms += weight * (took_ms.min(MAX_SAMPLE_MS) - self.service_ms);
+        self.service_updated_ms = Some(now_ms);
+    }
+
+    /// The average service time as it is believed now. An endpoint that gets no requests is not
+    /// measured, so that a long time is believed less and less: it approaches `shortest_ms`, the
+    /// shortest of comparable endpoints.
+    pub(crate) fn believed_service_ms(&self, shortest_ms: f64, now_ms: u64) -> f64 {
+        if self.running > 0 {
+            return self.service_ms;
+        }
+        let elapsed_ms = now_ms.saturating_sub(self.service_updated_ms.unwrap_or(0)) as f64;
+        let excess_ms = (self.service_ms - shortest_ms).max(0.0);
+        self.service_ms - excess_ms * (1.0 - (-elapsed_ms / SERVICE_HALF_LIFE_MS).exp2())
     }
 
     /// Estimated number of requests at the endpoint: those of this instance and its peers, or what
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -301,3 +301,48 @@
     assert_eq!(used[0], endpoint_info(0).id);
     assert!(used.contains(&endpoint_info(1).id));
 }
+
+/// One request every 100 ms for 20 s at three endpoints, of which one was slow once; the times at
+/// which that one got a request. It responds after `its_ms`, the others after `others_ms`.
+fn times_at_once_slow_endpoint(its_ms: f64, others_ms: f64) -> Vec<u64> {
+    let service = Name::from(SERVICE);
+    let mut balancer = balancer(3);
+    let mut times_ms = Vec::new();
+    let slow = balancer.choose(&query(&service, &[], &[]), 0).expect("an endpoint");
+    balancer.record_sent(&slow, &[], 0);
+    balancer.record_first_byte(&slow, 300.0, 0.0, None, 0);
+    balancer.record_ended(&slow, SERVICE, 0);
+    let order = |id: &Name| (0..3).find(|it| endpoint_info(*it).id == *id).expect("known");
+    let slow = order(&slow.id);
+    for now_ms in (100..20_000).step_by(100) {
+        let query = EndpointQuery { random: now_ms, ..query(&service, &[], &[]) };
+        let selected = balancer.choose(&query, now_ms).expect("an endpoint");
+        let at = order(&selected.id);
+        if at == slow {
+            times_ms.push(now_ms);
+        }
+        balancer.record_sent(&selected, &[], now_ms);
+        let took_ms = if at == slow { its_ms } else { others_ms };
+        balancer.record_first_byte(&selected, took_ms, 0.0, None, now_ms);
+        balancer.record_ended(&selected, SERVICE, now_ms);
+    }
+    times_ms
+}
+
+/// An endpoint that gets nothing is not measured: its last time must not count for ever.
+#[test]
+fn an_endpoint_that_was_slow_once_is_used_again() {
+    let times_ms = times_at_once_slow_endpoint(4.0, 4.0);
+    let used_late = times_ms.iter().filter(|it| **it >= 16_000).count();
+    assert!(times_ms[0] < 12_000, "first used after {} ms", times_ms[0]);
+    assert!(
+        used_late >= 4,
+        "{used_late} of 40 requests at one of three equal endpoints: {times_ms:?}"
+    );
+}
+
+#[test]
+fn an_endpoint_that_stays_slow_is_tried_seldom() {
+    let times_ms = times_at_once_slow_endpoint(300.0, 4.0);
+    assert!((1..=4).contains(&times_ms.len()), "tried at {times_ms:?}");
+}
