Keep the largest number of live instances for a while, for shares of limits

Instances that started lately do not know all others, and go by how many report to the hub. A hub that has just taken over, or missed reports, counts few: each of the instances then took a larger share, up to all. The number now falls only after 20 s, the time for which lists of instances may differ; too small a share in that time is the safe side.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod key_table;
 pub mod lease;
 pub mod length_predictor;
+pub mod live_instances;
 pub mod load_estimate;
 pub mod load_reports;
 pub mod log;
--- a/crates/core/tests/endpoint_limits.rs
+++ b/crates/core/tests/endpoint_limits.rs
@@ -5,6 +5,7 @@
 use tanagergauge_core::{
     Name,
     endpoint_limits::{EndpointLimits, FleetPosition, LimitUpdate, Permission},
+    live_instances::LiveInstances,
     roster::{Peer, Roster},
 };
 
@@ -166,3 +167,19 @@
     limits.expire(NOW_MS + 9_000);
     assert!(limits.is_empty());
 }
+
+/// A hub that takes over counts only those that have reported to it.
+#[test]
+fn a_hub_that_takes_over_makes_no_share_larger() {
+    let mut live = LiveInstances::default();
+    live.record(8, 0);
+    live.record(1, 500);
+    assert_eq!(live.count(), 8);
+    live.record(8, 900);
+    live.record(6, 20_000);
+    assert_eq!(live.count(), 8);
+    live.record(6, 20_900);
+    assert_eq!(live.count(), 6, "two instances are gone");
+    live.record(9, 21_000);
+    assert_eq!(live.count(), 9);
+}
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -2,14 +2,12 @@
 
 use std::{
     collections::HashMap,
-    sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Mutex, MutexGuard, PoisonError},
 };
 
 use tanagergauge_core::{
     Name,
+    live_instances::LiveInstances,
     load_reports::{self, EndpointLoad, LoadReports},
     roster::Roster,
     store_reads::{HubUpdates, hub_updates, is_behind},
@@ -26,7 +24,7 @@
     roster: Mutex<Roster>,
     hub: Mutex<HubStatus>,
     /// Number of instances that reported their loads recently, this one included.
-    live_instances: AtomicUsize,
+    live_instances: Mutex<LiveInstances>,
     /// Cursors of the exchange of suspects with each peer that this instance reports to.
     suspect_cursors: Mutex<HashMap<Name, SyncCursors>>,
 }
@@ -112,12 +110,16 @@
     /// Number of instances that reported their loads recently, this one included; 0 before the first
     /// report.
     pub(crate) fn live_instances(&self) -> usize {
-        self.live_instances.load(Ordering::Relaxed)
+        self.lock_live_instances().count()
     }
 
     /// Records how many other instances reported their loads.
     pub(crate) fn set_other_instances(&self, others: u32) {
-        self.live_instances.store(others as usize + 1, Ordering::Relaxed);
+        self.lock_live_instances().record(others as usize + 1, clock::now_ms());
+    }
+
+    fn lock_live_instances(&self) -> MutexGuard<'_, LiveInstances> {
+        self.live_instances.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Cursors of the exchange of suspects with a peer.
