--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -174,7 +174,9 @@
         } else {
             Vec::new()
         };
-        let deletions = missing.into_iter().map(|key| Record { key, value: None, offset: end });
+        // The record at `end` is later than the snapshot.
+        let offset = end.saturating_sub(1);
+        let deletions = missing.into_iter().map(|key| Record { key, value: None, offset });
         for record in records.into_iter().chain(deletions) {
             self.apply(gateway, decoders, topic, record, report);
         }
