Know an era without records as a history

After a restore from an empty copy, and before anything was written, an instance took the next restore for its first read: an endpoint that had left got requests again by the copy's entry (6 in the test), and missing entries had no grace. It went by the known end, which an empty history has not. Found by reading the diff; the test failed before.

--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -134,7 +134,8 @@
         let era = snapshot.era.unwrap_or(known_era);
         match EraChange::of(known_era, snapshot.era) {
             EraChange::Outdated => return false,
-            EraChange::Began if known_end.is_some() => {
+            // A history may be known that has no records.
+            EraChange::Began if known_era > 0 || known_end.is_some() => {
                 tracing::warn!(%topic, era, known_era, end, known_end, records = count, "store came back from a copy");
                 meters::store_restored(topic);
                 self.apply_restored(gateway, decoders, topic, snapshot);
