Break off answers without framing whose endpoint has crashed

Callers got a part of a plain body, or of a stream that cannot be resumed, with an orderly end, although its server was known to be gone milliseconds later. Cause: the check of the endpoint after an unknown end ran in the background on these routes; only resumable streams waited for it.

Now every route waits for the check, one attempt to connect that the next request uses: a crashed endpoint's answer fails, is sent again, or is resumed. What cannot be reached for another reason stays unknown, and is no longer counted as a broken request. Three tests of answer_end failed before and pass; framing, crashing_part and forwarding pass.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,7 +20,8 @@
     attempt::{self, Attempt, UpstreamResponse},
     clock,
     gateway::Gateway,
-    liveness, meters,
+    liveness::{self, EndpointState},
+    meters,
     progress::RequestProgress,
     relay::Relay,
     request::Request,
@@ -201,6 +202,10 @@
             &head.headers,
             &gateway.header_names.load,
         ));
+        if has_crashed_since(gateway, request, &attempt, &head, end).await {
+            record_failure(gateway, request, progress, &attempt, Failure::Broke);
+            continue;
+        }
         progress.first_byte_ms = Some(clock::elapsed_ms(request.arrived));
         let endpoint = attempt.chosen.id.clone();
         let is_server_error = head.status.is_server_error();
@@ -209,9 +214,7 @@
                 health.record_failure(clock::now_ms());
             }
             attempt.finish_failed();
-        } else if head.status.is_success() && end == BodyEnd::Unknown {
-            liveness::begin_check_after_unknown_end(gateway, request, attempt.chosen.clone());
-        } else {
+        } else if end == BodyEnd::Whole || !head.status.is_success() {
             attempt.finish();
             if head.status.is_success() {
                 suspects::record_success(gateway, request);
@@ -226,6 +229,21 @@
     }
 }
 
+/// Whether the endpoint of a success response that may be whole or not has crashed, so that it is not.
+async fn has_crashed_since(
+    gateway: &Gateway,
+    request: &Request,
+    attempt: &Attempt,
+    head: &response::Parts,
+    end: BodyEnd,
+) -> bool {
+    if !head.status.is_success() || end != BodyEnd::Unknown {
+        return false;
+    }
+    let endpoint = liveness::check_after_unknown_end(gateway, request, &attempt.chosen).await;
+    endpoint == EndpointState::Crashed
+}
+
 /// Records that an error response broke off; returns the refusal for the caller.
 fn body_failed(
     request: &Request,
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -1,4 +1,5 @@
-//! Checks whether an endpoint is still there after a connection to it broke.
+//! Checks whether an endpoint is still there after a connection to it broke, or ended a response that
+//! may be whole or not.
 //!
 //! An endpoint that crashed keeps its entry in the list for seconds, or for as long as the store is
 //! away, and where each instance sends it few requests, none of them may notice meanwhile.
@@ -9,9 +10,10 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use tanagergauge_core::{Name, selection::SelectedEndpoint, send_history::Failure};
+use tanagergauge_core::{Name, selection::SelectedEndpoint};
+use tokio::time::timeout_at;
 
-use crate::{attempt, clock, gateway::Gateway, request::Request, suspects};
+use crate::{clock, gateway::Gateway, pool::ConnectFailed, request::Request, suspects};
 
 /// Endpoints whose liveness is being checked.
 #[derive(Debug, Default)]
@@ -25,6 +27,17 @@
     }
 }
 
+/// What is known of an endpoint after a response of it that may be whole or not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndpointState {
+    /// It accepts connections.
+    Present,
+    /// Its process has ended, although it was not about to stop: the response broke off.
+    Crashed,
+    /// It may have stopped as planned, or is not reachable.
+    Unknown,
+}
+
 /// Begins a check of an endpoint in the background, unless one is running. An endpoint that accepts
 /// no connection is recorded as lost.
 pub(crate) fn begin_check(gateway: &Arc<Gateway>, endpoint: &SelectedEndpoint) {
@@ -34,36 +47,34 @@
     }
 }
 
-/// Checks in the background, as [`is_there`], whether the endpoint of a response that may be whole
-/// or not is still there. If it is gone, the response was broken off.
-pub(crate) fn begin_check_after_unknown_end(
-    gateway: &Arc<Gateway>,
-    request: &Arc<Request>,
-    endpoint: SelectedEndpoint,
-) {
-    let (gateway, request) = (Arc::clone(gateway), Arc::clone(request));
-    tokio::spawn(async move {
-        if !is_there(&gateway, &request, &endpoint).await {
-            attempt::record_failure(&gateway, &request, &endpoint, Failure::Broke);
-        }
-    });
-}
-
-/// Whether an endpoint is still there after a response that may be whole or not. If so, the response
-/// counts in favor of endpoint and request, and the connection is kept for the next request, as the
-/// response used one up.
-pub(crate) async fn is_there(
+/// Checks an endpoint right after a response of it that may be whole or not. If it is there, the
+/// response counts in favor of endpoint and request, and the connection is kept for the next request,
+/// as the response used one up.
+pub(crate) async fn check_after_unknown_end(
     gateway: &Gateway,
     request: &Request,
     endpoint: &SelectedEndpoint,
-) -> bool {
-    let Ok(connection) = gateway.pool.connect(endpoint.address).await else { return false };
-    gateway.pool.put(&endpoint.id, connection, None);
-    if let Some(health) = gateway.balancer().health_mut(&endpoint.id) {
-        health.record_success(clock::now_ms());
+) -> EndpointState {
+    let connected = timeout_at(request.deadline, gateway.pool.connect(endpoint.address)).await;
+    match connected.unwrap_or(Err(ConnectFailed::Unreachable)) {
+        Ok(connection) => {
+            if let Some(health) = gateway.balancer().health_mut(&endpoint.id) {
+                health.record_success(clock::now_ms());
+            }
+            gateway.pool.put(&endpoint.id, connection, None);
+            suspects::record_success(gateway, request);
+            EndpointState::Present
+        }
+        Err(ConnectFailed::Refused) if suspects::is_serving(gateway, &endpoint.id) => {
+            EndpointState::Crashed
+        }
+        Err(ConnectFailed::Refused | ConnectFailed::Unreachable) => {
+            if let Some(health) = gateway.balancer().health_mut(&endpoint.id) {
+                health.record_connect_failure(clock::now_ms());
+            }
+            EndpointState::Unknown
+        }
     }
-    suspects::record_success(gateway, request);
-    true
 }
 
 async fn check(gateway: Arc<Gateway>, endpoint: Name, address: SocketAddr) {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -38,8 +39,13 @@
 }
 
 /// No connection could be opened, so nothing was sent.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ConnectFailed;
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectFailed {
+    /// No process listens at the address.
+    Refused,
+    /// Nothing came back in time, or the network failed.
+    Unreachable,
+}
 
 impl Pool {
     /// Takes the most recently used idle connection that is fresh enough for the request, if any.
@@ -65,9 +71,12 @@
     pub(crate) async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectFailed> {
         let stream = socket::connect(address, CONNECT_TIMEOUT).await.map_err(|error| {
             tracing::debug!(%address, %error, "cannot open a connection");
-            ConnectFailed
+            match error.kind() {
+                ErrorKind::ConnectionRefused => ConnectFailed::Refused,
+                _ => ConnectFailed::Unreachable,
+            }
         })?;
-        Connection::open(stream, address).await.map_err(|_| ConnectFailed)
+        Connection::open(stream, address).await.map_err(|_| ConnectFailed::Unreachable)
     }
 
     /// Returns a connection whose last response was read completely.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,7 +26,7 @@
 use crate::{
     attempt::{self, Attempt},
     gateway::Gateway,
-    liveness,
+    liveness::{self, EndpointState},
     progress::RequestProgress,
     request::Request,
     retry::{OpenedResponse, open_response},
@@ -55,7 +55,7 @@
 type Resuming = Pin<Box<dyn Future<Output = (RequestProgress, Option<OpenedResponse>)> + Send>>;
 
 /// Checks whether the endpoint of a stream is still there.
-type EndpointCheck = Pin<Box<dyn Future<Output = bool> + Send>>;
+type EndpointCheck = Pin<Box<dyn Future<Output = EndpointState> + Send>>;
 
 enum State {
     /// An endpoint streams the response.
@@ -149,8 +149,8 @@
                     return Poll::Ready(Some(Err(BodyAborted)));
                 }
                 State::CheckingEndpoint(_, check) => {
-                    let is_there = ready!(check.as_mut().poll(cx));
-                    if let Some(ended) = self.endpoint_checked(is_there, cx) {
+                    let endpoint = ready!(check.as_mut().poll(cx));
+                    if let Some(ended) = self.endpoint_checked(endpoint, cx) {
                         return ended;
                     }
                 }
@@ -165,11 +165,7 @@
                     Step::Bytes(bytes) if bytes.is_empty() => {}
                     Step::Bytes(bytes) => return Poll::Ready(Some(Ok(bytes))),
                     Step::End => return Poll::Ready(self.end(BodyEnd::Whole)),
-                    Step::UnknownEnd if self.framer.is_some() => self.check_endpoint(),
-                    Step::UnknownEnd => {
-                        self.begin_endpoint_check();
-                        return Poll::Ready(self.end(BodyEnd::Unknown));
-                    }
+                    Step::UnknownEnd => self.check_endpoint(),
                     Step::Failed(failure) => {
                         self.handle_failure(failure, cx);
                         if matches!(self.state, State::Aborting) {
@@ -281,36 +277,35 @@
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
-    /// Checks in the background whether the endpoint is still there.
-    fn begin_endpoint_check(&self) {
-        if let State::Streaming(upstream) = &self.state {
-            let chosen = upstream.attempt.chosen.clone();
-            liveness::begin_check_after_unknown_end(&self.gateway, &self.request, chosen);
-        }
-    }
-
-    /// Checks whether the endpoint is still there, before a stream that can be resumed ends.
+    /// Checks whether the endpoint is still there, before a stream ends that may be whole or not.
     fn check_endpoint(&mut self) {
         let state = std::mem::replace(&mut self.state, State::Transition);
         let State::Streaming(upstream) = state else { return };
         let (gateway, request) = (Arc::clone(&self.gateway), Arc::clone(&self.request));
         let chosen = upstream.attempt.chosen.clone();
-        let check = async move { liveness::is_there(&gateway, &request, &chosen).await };
+        let check =
+            async move { liveness::check_after_unknown_end(&gateway, &request, &chosen).await };
         self.state = State::CheckingEndpoint(upstream, Box::pin(check));
     }
 
-    /// Ends the stream if its endpoint is still there and the caller was not promised to be told
-    /// whether it is whole; else another endpoint is asked to continue after the last event.
+    /// Ends the stream if nothing speaks against it and the caller was not promised to be told whether
+    /// it is whole; else it is resumed or aborted.
     fn endpoint_checked(
         &mut self,
-        is_there: bool,
+        endpoint: EndpointState,
         cx: &mut Context<'_>,
     ) -> Option<Poll<Option<Result<Bytes, BodyAborted>>>> {
         let shows_end = self.progress.caller_framing.is_none_or(Framing::shows_end);
-        if is_there && !shows_end {
-            return Some(Poll::Ready(self.end(BodyEnd::Unknown)));
-        }
-        self.handle_failure(if is_there { Failure::EndUnknown } else { Failure::Broke }, cx);
+        let can_resume = self.framer.is_some();
+        let failure = match endpoint {
+            EndpointState::Crashed => Failure::Broke,
+            EndpointState::Unknown if can_resume => Failure::EndUnknown,
+            EndpointState::Present | EndpointState::Unknown if shows_end => Failure::EndUnknown,
+            EndpointState::Present | EndpointState::Unknown => {
+                return Some(Poll::Ready(self.end(BodyEnd::Unknown)));
+            }
+        };
+        self.handle_failure(failure, cx);
         matches!(self.state, State::Aborting).then_some(Poll::Pending)
     }
 
