Claim nothing of a stream's end to callers of HTTP/1.0

A caller of HTTP/1.0 whose stream was resumed without framing saw it broken off, although all events had arrived; its log line said caller_framing chunked. Cause: the claim was worked out from the endpoint's framing alone, but this version has no chunks, so that nothing was claimed. The caller's version is part of the request now, and the claim follows from both; the separate rule for such callers in accept is gone.

caller_of_http_1_0_gets_a_stream_resumed_without_framing failed before and passes; answer_end has 43 green tests.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -10,8 +10,7 @@
 use bytes::Bytes;
 use hyper::{
     Method, Response, StatusCode, Version,
-    body::{Body, Incoming},
-    header::CONTENT_LENGTH,
+    body::Incoming,
     server::conn::http1,
     service::{HttpService, service_fn},
 };
@@ -78,7 +77,8 @@
         async move {
             let version = incoming.version();
             let response = exchange::handle(gateway, incoming).await;
-            begin_response(&response_state, version, &response);
+            let is_until_close = response.version() == Version::HTTP_10;
+            response_state.begin(is_until_close, is_until_close && version != Version::HTTP_10);
             Ok::<_, Infallible>(response)
         }
     });
@@ -97,19 +97,6 @@
     }
 }
 
-/// Tells the caller's socket how a response to a request of an HTTP version ends.
-fn begin_response(state: &ResponseState, version: Version, response: &Response<ResponseBody>) {
-    let is_unframed = response.version() == Version::HTTP_10;
-    // Callers of HTTP/1.0 know no chunks: only a length shows them where a body ends.
-    let is_streamed_to_old_caller = version == Version::HTTP_10
-        && !response.headers().contains_key(CONTENT_LENGTH)
-        && !response.body().is_end_stream();
-    state.begin(
-        is_unframed || is_streamed_to_old_caller,
-        is_unframed && version != Version::HTTP_10,
-    );
-}
-
 /// Waits until a graceful stop closes idle connections.
 async fn wait_for_closing(gateway: &Gateway) {
     let mut phase = gateway.phase.subscribe();
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -87,7 +87,7 @@
     let engine = configuration.service(&service).and_then(|it| it.engine);
     let latency_sensitive = engine.is_some_and(|it| route.is_latency_sensitive(&it));
     gateway.budgets().record_request(&service, clock::now_ms());
-    let http_request::Parts { method, uri, mut headers, .. } = head;
+    let http_request::Parts { method, uri, version: http_version, mut headers, .. } = head;
     request::strip_headers(&mut headers, names, account.is_some());
     let uri = match uri.path_and_query() {
         Some(path) => path.clone().into(),
@@ -98,6 +98,7 @@
         id,
         method,
         uri,
+        http_version,
         headers,
         body,
         account,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hyper::{
-    Response,
+    Response, Version,
     body::Incoming,
     header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
     http::response,
@@ -88,28 +88,7 @@
             progress.report(&request, Outcome::Answered, None, 0);
             response
         }
-        Ok(Served::Stream(opened)) => {
-            let mut head = Response::new(());
-            *head.status_mut() = opened.head.status;
-            *head.headers_mut() = opened.head.headers.clone();
-            upstream_response::strip_hop_by_hop(head.headers_mut());
-            if request.route.retry_safety.allows_resend() {
-                // A response that resumes the stream may have another length.
-                head.headers_mut().remove(CONTENT_LENGTH);
-            }
-            let caller_framing = match opened.framing {
-                Framing::UntilClose => Framing::UntilClose,
-                _ if head.headers().contains_key(CONTENT_LENGTH) => Framing::Length,
-                _ => Framing::Chunked,
-            };
-            progress.caller_framing = Some(caller_framing);
-            let relay = Relay::new(Arc::clone(gateway), Arc::clone(&request), progress, *opened);
-            let mut response = head.map(|()| ResponseBody::Streamed(Box::new(relay)));
-            if caller_framing == Framing::UntilClose {
-                end_with_connection(&mut response);
-            }
-            response
-        }
+        Ok(Served::Stream(opened)) => stream_response(gateway, &request, progress, *opened),
         Err(refusal) => {
             progress.report(&request, refusal.outcome, Some(refusal.reason), 0);
             refusal.response()
@@ -117,6 +96,39 @@
     }
 }
 
+/// The response to the caller of a stream that has begun. Its framing claims no more of the stream's
+/// end than the endpoint's does.
+fn stream_response(
+    gateway: &Arc<Gateway>,
+    request: &Arc<Request>,
+    mut progress: RequestProgress,
+    opened: OpenedResponse,
+) -> Response<ResponseBody> {
+    let mut head = Response::new(());
+    *head.status_mut() = opened.head.status;
+    *head.headers_mut() = opened.head.headers.clone();
+    upstream_response::strip_hop_by_hop(head.headers_mut());
+    if request.route.retry_safety.allows_resend() {
+        // A response that resumes the stream may have another length.
+        head.headers_mut().remove(CONTENT_LENGTH);
+    }
+    let has_length = head.headers().contains_key(CONTENT_LENGTH);
+    let caller_framing = match opened.framing {
+        framing @ (Framing::NoBody | Framing::UntilClose) => framing,
+        _ if has_length => Framing::Length,
+        // This version has no chunks.
+        _ if request.http_version == Version::HTTP_10 => Framing::UntilClose,
+        _ => Framing::Chunked,
+    };
+    progress.caller_framing = Some(caller_framing);
+    let relay = Relay::new(Arc::clone(gateway), Arc::clone(request), progress, opened);
+    let mut response = head.map(|()| ResponseBody::Streamed(Box::new(relay)));
+    if caller_framing == Framing::UntilClose {
+        end_with_connection(&mut response);
+    }
+    response
+}
+
 /// Logs that the caller disconnected before the response began, if dropped while armed.
 struct CallerLeftGuard<'a> {
     request: &'a Request,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hyper::{
-    HeaderMap, Method, Uri,
+    HeaderMap, Method, Uri, Version,
     header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderName},
     http::request,
 };
@@ -41,6 +41,8 @@
     pub(crate) method: Method,
     /// Path and query, unchanged.
     pub(crate) uri: Uri,
+    /// HTTP version that the caller speaks.
+    pub(crate) http_version: Version,
     /// The caller's headers that are forwarded.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
