--- /dev/null
+++ b/crates/gateway/src/view/endpoint.rs
@@ -0,0 +1,116 @@
+//! Endpoints' records.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tanagergauge_core::{
+    Name,
+    endpoint::{Distance, EndpointInfo},
+    endpoint_reports::ReportNumber,
+};
+
+use super::{ChangeReport, LOG_TARGET, StoreView};
+use crate::{
+    clock,
+    gateway::Gateway,
+    store::{Decoders, EndpointEntry},
+    suspects,
+};
+
+impl StoreView {
+    /// Applies an endpoint's record. Returns whether it says more than that the endpoint is alive.
+    pub(super) fn apply_endpoint(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        decoders: &Decoders,
+        key: &Name,
+        value: Option<&Bytes>,
+        report: ChangeReport,
+    ) -> bool {
+        self.listed_again_until.remove(key);
+        let Some(value) = value else {
+            self.endpoint_removed(gateway, key);
+            return true;
+        };
+        self.missing_until.remove(key);
+        match (decoders.endpoint)(value) {
+            Ok(entry) => {
+                self.reports.record(key, report_number(&entry), value);
+                let info = endpoint_info(gateway, key, entry);
+                let (leaving, service) = (info.leaving, info.service.clone());
+                if has_restarted(gateway, &info) {
+                    suspects::record_endpoint_lost(gateway, key);
+                }
+                let changed = gateway.balancer().upsert(info);
+                match report {
+                    ChangeReport::Each if changed => {
+                        tracing::info!(target: LOG_TARGET, endpoint = %key, %service, leaving, "endpoint changed");
+                    }
+                    ChangeReport::Batch => {
+                        tracing::debug!(target: LOG_TARGET, endpoint = %key, %service, leaving, "endpoint listed");
+                    }
+                    ChangeReport::Each => {}
+                }
+                changed
+            }
+            Err(error) => {
+                // An endpoint whose entry cannot be decoded is not used.
+                let known = gateway.balancer().remove(key);
+                tracing::warn!(target: LOG_TARGET, endpoint = %key, %error, known, "entry of an endpoint is passed over");
+                true
+            }
+        }
+    }
+
+    /// Handles a deleted entry. In the grace period after a store outage the endpoint is kept until
+    /// the period ends.
+    pub(super) fn endpoint_removed(&mut self, gateway: &Arc<Gateway>, key: &Name) {
+        let now_ms = clock::now_ms();
+        if now_ms < self.recovery_grace_until_ms {
+            self.missing_until.insert(key.clone(), self.recovery_grace_until_ms);
+            tracing::info!(target: LOG_TARGET, endpoint = %key, "entry lapsed while the store was away");
+            return;
+        }
+        self.remove_endpoint(gateway, key);
+    }
+
+    pub(super) fn remove_endpoint(&mut self, gateway: &Arc<Gateway>, key: &Name) {
+        self.reports.record_gone(key, clock::now_ms());
+        suspects::record_endpoint_lost(gateway, key);
+        if gateway.balancer().remove(key) {
+            tracing::info!(target: LOG_TARGET, endpoint = %key, "endpoint gone");
+        }
+        gateway.pool.close_endpoint(key);
+    }
+}
+
+/// Whether the process that an endpoint announces is another one than before.
+fn has_restarted(gateway: &Gateway, info: &EndpointInfo) -> bool {
+    gateway.balancer().info(&info.id).is_some_and(|it| it.incarnation != info.incarnation)
+}
+
+pub(super) fn report_number(entry: &EndpointEntry) -> ReportNumber {
+    ReportNumber { incarnation: entry.incarnation, sequence: entry.report_sequence }
+}
+
+/// Combines an endpoint's entry with its distance from this instance.
+fn endpoint_info(gateway: &Gateway, key: &Name, entry: EndpointEntry) -> EndpointInfo {
+    let region = gateway.region(&entry.availability_zone);
+    let distance = if entry.availability_zone == gateway.settings.availability_zone {
+        Distance::SameZone
+    } else if region == gateway.settings.region {
+        Distance::SameRegion
+    } else {
+        Distance::OtherRegion
+    };
+    EndpointInfo {
+        id: key.clone(),
+        service: entry.service,
+        address: entry.address,
+        region,
+        distance,
+        slots: entry.slots,
+        leaving: entry.leaving,
+        incarnation: entry.incarnation,
+    }
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -1,13 +1,14 @@
 //! Local copy of the configuration and endpoints topics, updated from the store or from peers.
 
+mod endpoint;
+mod restored;
+
 use std::{cmp::Ordering, collections::HashMap, sync::Arc};
 
-use bytes::Bytes;
 use tanagergauge_core::{
     Name,
     compacted_log::{CatchUp, CatchUpPlan, CompactedLog, Record},
-    endpoint::{Distance, EndpointInfo},
-    endpoint_reports::{EndpointReports, KnownReport, ReportNumber},
+    endpoint_reports::EndpointReports,
     store_era::EraChange,
 };
 
@@ -16,19 +17,15 @@
     gateway::Gateway,
     meters,
     peers::Position,
-    store::{Changes, Decoders, EndpointEntry, Snapshot, Topic},
-    suspects,
+    store::{Changes, Decoders, Snapshot, Topic},
 };
 
+/// Log target that deployed log filters select; it is independent of the module path.
+const LOG_TARGET: &str = "tanagergauge_gateway::view";
 /// How long an endpoint is still used after its entry went missing during a store outage, in
 /// milliseconds. It may be alive and could not renew its entry.
 pub(crate) const MISSING_ENTRY_GRACE_MS: u64 = 2_000;
 
-/// How long an endpoint that is gone, and that a store lists again after it came back from a copy, is
-/// not used, in milliseconds. Unless it reports, its entry lapses before: after three of its reports
-/// were missed, 1.2 s apart.
-const LISTED_AGAIN_WAIT_MS: u64 = 6_000;
-
 /// How changes of endpoints are logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ChangeReport {
@@ -184,55 +181,6 @@
         self.log_mut(topic).advance_to(end);
     }
 
-    /// Applies what the store holds after it came back from a copy. Newer versions and reports than
-    /// the copy's stay in force. Endpoints whose entries it lacks have some time to write them again.
-    fn apply_restored(
-        &mut self,
-        gateway: &Arc<Gateway>,
-        decoders: &Decoders,
-        topic: Topic,
-        snapshot: Snapshot,
-    ) {
-        let Snapshot { records, end, era } = snapshot;
-        let missing = self.log_mut(topic).keys_not_in(&keys(&records));
-        self.log_mut(topic).begin_era(era.unwrap_or(0), end);
-        self.store_recovered();
-        for record in records {
-            match self.known_report(decoders, topic, &record) {
-                None => self.apply(gateway, decoders, topic, record, ChangeReport::Each),
-                Some(KnownReport::Live(value)) => {
-                    self.missing_until.remove(&record.key);
-                    self.endpoints.put(Record { value: Some(value), ..record }, true);
-                }
-                Some(KnownReport::Gone) => {
-                    tracing::info!(endpoint = %record.key, "an endpoint that is gone is listed again");
-                    let until_ms = clock::now_ms() + LISTED_AGAIN_WAIT_MS;
-                    self.listed_again_until.insert(record.key.clone(), until_ms);
-                    self.endpoints.put(record, true);
-                }
-            }
-        }
-        if topic == Topic::Endpoints {
-            for key in missing {
-                self.endpoint_removed(gateway, &key);
-            }
-        }
-    }
-
-    /// What is known of an endpoint in place of a copy's record, unless that is newer.
-    fn known_report(
-        &self,
-        decoders: &Decoders,
-        topic: Topic,
-        record: &Record,
-    ) -> Option<KnownReport> {
-        if topic != Topic::Endpoints {
-            return None;
-        }
-        let entry = (decoders.endpoint)(record.value.as_ref()?).ok()?;
-        self.reports.known(&record.key, report_number(&entry))
-    }
-
     /// Applies records that follow those that are known. Returns false if they are of another era,
     /// and then has no effect.
     pub(crate) fn apply_changes(
@@ -322,123 +270,8 @@
             }
         }
     }
-
-    /// Applies an endpoint's record. Returns whether it says more than that the endpoint is alive.
-    fn apply_endpoint(
-        &mut self,
-        gateway: &Arc<Gateway>,
-        decoders: &Decoders,
-        key: &Name,
-        value: Option<&Bytes>,
-        report: ChangeReport,
-    ) -> bool {
-        self.listed_again_until.remove(key);
-        let Some(value) = value else {
-            self.endpoint_removed(gateway, key);
-            return true;
-        };
-        self.missing_until.remove(key);
-        match (decoders.endpoint)(value) {
-            Ok(entry) => {
-                self.reports.record(key, report_number(&entry), value);
-                let info = endpoint_info(gateway, key, entry);
-                let (leaving, service) = (info.leaving, info.service.clone());
-                if has_restarted(gateway, &info) {
-                    suspects::record_endpoint_lost(gateway, key);
-                }
-                let changed = gateway.balancer().upsert(info);
-                match report {
-                    ChangeReport::Each if changed => {
-                        tracing::info!(endpoint = %key, %service, leaving, "endpoint changed");
-                    }
-                    ChangeReport::Batch => {
-                        tracing::debug!(endpoint = %key, %service, leaving, "endpoint listed");
-                    }
-                    ChangeReport::Each => {}
-                }
-                changed
-            }
-            Err(error) => {
-                // An endpoint whose entry cannot be decoded is not used.
-                let known = gateway.balancer().remove(key);
-                tracing::warn!(endpoint = %key, %error, known, "entry of an endpoint is passed over");
-                true
-            }
-        }
-    }
-
-    /// Handles a deleted entry. In the grace period after a store outage the endpoint is kept until
-    /// the period ends.
-    fn endpoint_removed(&mut self, gateway: &Arc<Gateway>, key: &Name) {
-        let now_ms = clock::now_ms();
-        if now_ms < self.recovery_grace_until_ms {
-            self.missing_until.insert(key.clone(), self.recovery_grace_until_ms);
-            tracing::info!(endpoint = %key, "entry lapsed while the store was away");
-            return;
-        }
-        self.remove_endpoint(gateway, key);
-    }
-
-    fn remove_endpoint(&mut self, gateway: &Arc<Gateway>, key: &Name) {
-        self.reports.record_gone(key, clock::now_ms());
-        suspects::record_endpoint_lost(gateway, key);
-        if gateway.balancer().remove(key) {
-            tracing::info!(endpoint = %key, "endpoint gone");
-        }
-        gateway.pool.close_endpoint(key);
-    }
-
-    /// Removes endpoints whose entries went missing and did not reappear within the grace period, and
-    /// uses those again that stayed listed after the store came back from a copy.
-    pub(crate) fn end_waits(&mut self, gateway: &Arc<Gateway>, decoders: &Decoders) {
-        let now_ms = clock::now_ms();
-        for key in take_ended(&mut self.missing_until, now_ms) {
-            self.remove_endpoint(gateway, &key);
-        }
-        for key in take_ended(&mut self.listed_again_until, now_ms) {
-            if let Some(value) = self.endpoints.value(&key).cloned() {
-                self.apply_endpoint(gateway, decoders, &key, Some(&value), ChangeReport::Each);
-            }
-        }
-    }
-}
-
-/// Whether the process that an endpoint announces is another one than before.
-fn has_restarted(gateway: &Gateway, info: &EndpointInfo) -> bool {
-    gateway.balancer().info(&info.id).is_some_and(|it| it.incarnation != info.incarnation)
-}
-
-/// Removes the endpoints whose wait has ended.
-fn take_ended(waits: &mut HashMap<Name, u64>, now_ms: u64) -> Vec<Name> {
-    waits.extract_if(|_, until_ms| now_ms >= *until_ms).map(|(key, _)| key).collect()
 }
 
 fn keys(records: &[Record]) -> Vec<Name> {
     records.iter().map(|it| it.key.clone()).collect()
 }
-
-fn report_number(entry: &EndpointEntry) -> ReportNumber {
-    ReportNumber { incarnation: entry.incarnation, sequence: entry.report_sequence }
-}
-
-/// Combines an endpoint's entry with its distance from this instance.
-fn endpoint_info(gateway: &Gateway, key: &Name, entry: EndpointEntry) -> EndpointInfo {
-    let region = gateway.region(&entry.availability_zone);
-    let distance = if entry.availability_zone == gateway.settings.availability_zone {
-        Distance::SameZone
-    } else if region == gateway.settings.region {
-        Distance::SameRegion
-    } else {
-        Distance::OtherRegion
-    };
-    EndpointInfo {
-        id: key.clone(),
-        service: entry.service,
-        address: entry.address,
-        region,
-        distance,
-        slots: entry.slots,
-        leaving: entry.leaving,
-        incarnation: entry.incarnation,
-    }
-}
