Make a new instance known to those that started before it

Cause: a member reports to its hub, but nobody reports to a new hub, and only one of two zones' hubs reports to the other.

An instance that is its zone's hub when it first reads the list reports once to all members and to the other zones' hubs. Reports tell how many instances the sender knows; who knows fewer asks for all, at most every three seconds, and adds those that it does not know.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -6,6 +6,8 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{Name, endpoint_limits::FleetPosition, load_reports::name_hash};
 
 /// Length of the first pause after an instance did not respond, in milliseconds; it doubles with
@@ -14,8 +16,11 @@
 /// Maximum length of such a pause, in milliseconds.
 const MAX_PAUSE_MS: u64 = 16_000;
 
+/// Least time between two requests for the lists of peers, in milliseconds.
+const ASK_INTERVAL_MS: u64 = 3_000;
+
 /// An instance and how to reach it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
     /// Its name, unique in the fleet.
     pub name: Name,
@@ -38,6 +43,26 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     by_name: HashMap<Name, Entry>,
+    /// When a peer was last asked for its list.
+    asked_ms: Option<u64>,
+}
+
+/// What instances tell each other of the instances that they know.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterNews {
+    /// What the sender has and wants.
+    pub summary: RosterSummary,
+    /// All instances that the sender knows, if it was asked for them.
+    pub all: Vec<Peer>,
+}
+
+/// How many instances a peer knows, and whether it asks for more.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterSummary {
+    /// Number of instances that it knows.
+    pub known: u32,
+    /// It asks for all that the other knows.
+    pub asks_for_all: bool,
 }
 
 impl Roster {
@@ -54,6 +79,32 @@
         }
     }
 
+    /// What to tell a peer that told this last.
+    pub fn news_for(&mut self, peer: RosterSummary, now_ms: u64) -> RosterNews {
+        let may_ask = self.asked_ms.is_none_or(|it| now_ms >= it + ASK_INTERVAL_MS);
+        let asks_for_all = may_ask && peer.known as usize > self.len();
+        if asks_for_all {
+            self.asked_ms = Some(now_ms);
+        }
+        let all = self.by_name.values().filter(|_| peer.asks_for_all).map(|it| it.peer.clone());
+        let summary = RosterSummary { known: self.len() as u32, asks_for_all };
+        RosterNews { summary, all: all.collect() }
+    }
+
+    /// Adds the instances that a peer knows and this one does not. What is known stays: it may be
+    /// newer.
+    pub fn add_unknown(&mut self, peers: Vec<Peer>) {
+        for peer in peers {
+            let is_known = self
+                .by_name
+                .values()
+                .any(|it| it.peer.name == peer.name || it.peer.control == peer.control);
+            if !is_known {
+                self.put(peer);
+            }
+        }
+    }
+
     /// Adds or updates an instance that sent a message, and ends its pause.
     pub fn record_contact(&mut self, peer: Peer) {
         let name = peer.name.clone();
@@ -94,9 +145,9 @@
         zones
     }
 
-    /// Number of known instances in a zone.
-    pub fn member_count(&self, zone: &str) -> usize {
-        self.by_name.values().filter(|it| &*it.peer.zone == zone).count()
+    /// The known instances of a zone.
+    pub fn members(&self, zone: &str) -> impl Iterator<Item = &Peer> {
+        self.by_name.values().map(|it| &it.peer).filter(move |it| &*it.zone == zone)
     }
 
     /// Place of an instance in the order of the names of all. While fewer are known than the
--- a/crates/core/tests/peers.rs
+++ b/crates/core/tests/peers.rs
@@ -4,7 +4,7 @@
     Name,
     load_reports::{self, EndpointLoad, Load, LoadReports},
     part_popularity::PartPopularity,
-    roster::{Peer, Roster},
+    roster::{Peer, Roster, RosterSummary},
 };
 
 fn peer(name: &str, zone: &str, port: u16) -> Peer {
@@ -147,3 +147,32 @@
         assert!(added < 128, "{sent:?} {read:?}");
     }
 }
+
+#[test]
+fn a_peer_that_knows_more_instances_is_asked_for_them_at_intervals() {
+    let mut roster = Roster::default();
+    roster.put(peer("a-1", "tallinn-a", 1));
+    let knows = |known| RosterSummary { known, asks_for_all: false };
+    assert!(!roster.news_for(knows(1), 0).summary.asks_for_all);
+    assert!(roster.news_for(knows(2), 0).summary.asks_for_all);
+    assert!(!roster.news_for(knows(2), 2_999).summary.asks_for_all);
+    assert!(roster.news_for(knows(2), 3_000).summary.asks_for_all);
+}
+
+#[test]
+fn a_peer_that_asks_is_told_all_instances_and_keeps_what_it_knows() {
+    let (mut roster, mut other) = (Roster::default(), Roster::default());
+    for (at, name) in ["a-1", "a-2", "a-3"].iter().enumerate() {
+        roster.put(peer(name, "tallinn-a", at as u16));
+    }
+    let news = roster.news_for(RosterSummary { known: 1, asks_for_all: true }, 0);
+    assert_eq!((news.summary.known, news.all.len()), (3, 3));
+    // The first moved, and the second one's address was given to another.
+    other.put(peer("a-1", "tallinn-a", 7));
+    other.put(peer("a-9", "tallinn-a", 1));
+    other.add_unknown(news.all);
+    let mut known: Vec<_> = other.members("tallinn-a").cloned().collect();
+    known.sort_by_key(|it| it.control);
+    let expected = [("a-9", 1), ("a-3", 2), ("a-1", 7)];
+    assert_eq!(known, expected.map(|(name, port)| peer(name, "tallinn-a", port)));
+}
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -8,6 +8,7 @@
     compacted_log::Record,
     endpoint_limits::LimitUpdate,
     load_reports::EndpointLoad,
+    roster::RosterNews,
     suspects::{Suspect, SuspectUpdates},
     update_log::LogPosition,
 };
@@ -44,6 +45,8 @@
     pub(crate) suspects_received: LogPosition,
     /// Limits that endpoints named recently.
     pub(crate) limits: Vec<LimitUpdate>,
+    /// What the sender knows of other instances.
+    pub(crate) roster: RosterNews,
     /// What the receiver lacks of the store's topics, if its own data was old at its last response.
     pub(crate) store: Option<StoreNews>,
 }
@@ -84,6 +87,8 @@
     pub(crate) loads: Vec<EndpointLoad>,
     /// Number of instances that `loads` covers.
     pub(crate) instances: u32,
+    /// What the sender of the response knows of other instances.
+    pub(crate) roster: RosterNews,
     /// What the sender of the report lacks of the store's topics.
     pub(crate) store: StoreNews,
     /// Suspects that the sender has not received yet.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -4,6 +4,7 @@
 //! The members of an availability zone report to one of them, the zone's hub, and hubs report to
 //! each other.
 
+mod announce;
 mod exchange;
 mod message;
 mod news;
--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -52,6 +52,7 @@
     };
     register(&gateway, &*store, &value).await;
     let mut backoff = Backoff::new(INITIAL_ROSTER_BACKOFF, MAX_ROSTER_BACKOFF);
+    let mut is_first = true;
     loop {
         gateway.suspects().expire(clock::unix_ms());
         let era = gateway.store_era();
@@ -59,6 +60,9 @@
             Ok(snapshot) => {
                 let is_listed = snapshot.records.iter().any(|it| it.key == settings.instance);
                 update_roster(&gateway, snapshot);
+                if std::mem::take(&mut is_first) {
+                    gateway.peers.set_list_new();
+                }
                 backoff.reset();
                 if !is_listed {
                     tracing::info!(target: LOG_TARGET, era, "the entry of this instance is missing; writing it again");
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -33,7 +33,12 @@
     let now_ms = clock::now_ms();
     let peers = &gateway.peers;
     let SyncRequest { sender, instance, zone, control, loads, instances, known, .. } = report;
-    peers.roster().record_contact(Peer { name: instance.clone(), zone: zone.clone(), control });
+    let roster = {
+        let mut roster = peers.roster();
+        roster.record_contact(Peer { name: instance.clone(), zone: zone.clone(), control });
+        roster.add_unknown(report.roster.all);
+        roster.news_for(report.roster.summary, now_ms)
+    };
     let (local, limits) = {
         let mut balancer = gateway.balancer();
         balancer.limits_mut().merge(report.limits, now_ms);
@@ -63,6 +68,7 @@
     SyncResponse {
         loads,
         instances,
+        roster,
         store: news::collect(follower, known, report.has_store),
         suspects,
         limits,
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -2,14 +2,17 @@
 
 use std::{
     collections::HashMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use tanagergauge_core::{
     Name,
     live_instances::LiveInstances,
     load_reports::{self, EndpointLoad, LoadReports},
-    roster::Roster,
+    roster::{Roster, RosterNews, RosterSummary},
     store_reads::{HubUpdates, hub_updates, is_behind},
     update_log::SyncCursors,
 };
@@ -27,6 +30,10 @@
     live_instances: Mutex<LiveInstances>,
     /// Cursors of the exchange of suspects with each peer that this instance reports to.
     suspect_cursors: Mutex<HashMap<Name, SyncCursors>>,
+    /// What each peer that this instance reports to last told of its own list of instances.
+    peer_summaries: Mutex<HashMap<Name, RosterSummary>>,
+    /// The list of instances was read, and this instance has not acted on it yet.
+    is_list_new: AtomicBool,
 }
 
 /// Peers' reports of requests in progress.
@@ -132,6 +139,32 @@
         self.lock_suspect_cursors().insert(peer.clone(), cursors);
     }
 
+    /// What to tell a peer of the instances that this one knows.
+    pub(crate) fn roster_news_for(&self, peer: &str) -> RosterNews {
+        let told = self.lock_peer_summaries().get(peer).copied().unwrap_or_default();
+        self.roster().news_for(told, clock::now_ms())
+    }
+
+    /// Records what a peer told of the instances that it knows.
+    pub(crate) fn record_roster_news(&self, peer: &Name, news: RosterNews) {
+        self.lock_peer_summaries().insert(peer.clone(), news.summary);
+        self.roster().add_unknown(news.all);
+    }
+
+    fn lock_peer_summaries(&self) -> MutexGuard<'_, HashMap<Name, RosterSummary>> {
+        self.peer_summaries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that the list of instances was read for the first time.
+    pub(crate) fn set_list_new(&self) {
+        self.is_list_new.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the list of instances was read for the first time since the last call.
+    pub(crate) fn take_list_new(&self) -> bool {
+        self.is_list_new.swap(false, Ordering::Relaxed)
+    }
+
     fn lock_suspect_cursors(&self) -> MutexGuard<'_, HashMap<Name, SyncCursors>> {
         self.suspect_cursors.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -16,6 +16,7 @@
 };
 
 use super::{
+    announce,
     exchange::{self, Exchange},
     message::{SenderRole, SyncRequest, SyncResponse},
     news, registration,
@@ -23,12 +24,13 @@
 use crate::{clock, follow::StoreFollower, gateway::Gateway, store::Store};
 
 /// Time-out for a response of this zone's hub.
-const ZONE_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const ZONE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time-out for a response of another zone's hub.
 const CROSS_ZONE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// A report to a peer.
-struct Report {
-    request: SyncRequest,
+pub(super) struct Report {
+    pub(super) request: SyncRequest,
     /// Up to where the receiver has this instance's suspects once it gets the report.
     suspects_sent: LogPosition,
 }
@@ -42,6 +44,9 @@
     loop {
         let begin = Instant::now();
         let interval_ms = send_reports(&follower, &local).await;
+        if gateway.peers.take_list_new() {
+            announce::hub(&follower, &local).await;
+        }
         if !gateway.is_initialized() {
             ask_seeds(&follower).await;
         }
@@ -59,7 +64,7 @@
         let hub = roster.hub(&local.zone, &local.name, now_ms).cloned();
         let position = roster.position(&local.name, gateway.peers.live_instances());
         update_limits(gateway, position, now_ms);
-        (hub, roster.member_count(&local.zone), roster.zones().len())
+        (hub, roster.members(&local.zone).count(), roster.zones().len())
     };
     match hub {
         Some(hub) if hub.name != local.name => {
@@ -151,7 +156,7 @@
     largest
 }
 
-async fn report_to_zone(follower: Arc<StoreFollower>, hub: Peer) -> usize {
+pub(super) async fn report_to_zone(follower: Arc<StoreFollower>, hub: Peer) -> usize {
     let gateway = follower.gateway();
     let local = gateway.balancer().local_loads();
     let (loads, instances) = gateway.peers.reports().loads_of_zone(local, clock::now_ms());
@@ -197,7 +202,7 @@
 }
 
 /// Builds a report for a peer.
-fn build_report(
+pub(super) fn build_report(
     follower: &StoreFollower,
     peer: &str,
     sender: SenderRole,
@@ -220,18 +225,25 @@
         has_store: !follower.is_store_lost(),
         suspects: suspects.suspects,
         suspects_received: cursors.received_from_peer,
+        roster: gateway.peers.roster_news_for(peer),
         limits: gateway.balancer().limits().updates(clock::now_ms()),
         store: None,
     };
     Report { request, suspects_sent: suspects.next }
 }
 
-/// Applies the limits and suspects in a peer's response and updates the cursors of the exchange.
-fn apply_findings(gateway: &Gateway, peer: &Name, report: &Report, response: &mut SyncResponse) {
+/// Applies the limits, suspects and instances in a peer's response and updates the cursors of the exchange.
+pub(super) fn apply_findings(
+    gateway: &Gateway,
+    peer: &Name,
+    report: &Report,
+    response: &mut SyncResponse,
+) {
     let limits = std::mem::take(&mut response.limits);
     gateway.balancer().limits_mut().merge(limits, clock::now_ms());
     let updates = std::mem::take(&mut response.suspects);
     let cursors = gateway.peers.suspect_cursors(peer).advance(report.suspects_sent, updates.next);
     gateway.peers.set_suspect_cursors(peer, cursors);
     gateway.suspects().merge(updates.suspects);
+    gateway.peers.record_roster_news(peer, std::mem::take(&mut response.roster));
 }
