Tell peers of endpoints that are gone although a restored store lists them

An instance that started after the store came back from a copy, or while it was away, sent requests to a server that had left in the lost seconds, by the copy's entry, until that lapsed (up to 3.6 s); its peers knew better. Cause: that an entry is an old one was known in memory only; what instances tell each other were records of the current history, and the copy's entry is one of them. Class: knowledge about a history that stays behind with it.

Instances tell each other the endpoints that are gone and listed again, with the number of their last report, as long as they wait for one (six seconds), and only peers that know fewer. An entry that is not newer is out of use there too.

--- a/crates/core/src/endpoint_reports.rs
+++ b/crates/core/src/endpoint_reports.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::Name;
 
@@ -14,7 +15,7 @@
 const RETENTION_MS: u64 = 600_000;
 
 /// Number of a report; later reports of an endpoint have greater ones.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ReportNumber {
     /// When the endpoint's process started, in milliseconds of Unix time.
     pub incarnation: u64,
@@ -22,6 +23,15 @@
     pub sequence: u64,
 }
 
+/// An endpoint that is gone, as it is told to peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GoneEndpoint {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// Number of its last report; one with a greater number has started again.
+    pub last_report: ReportNumber,
+}
+
 /// Newest reports by endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointReports {
@@ -62,6 +72,26 @@
         });
     }
 
+    /// Records that a peer knows an endpoint to be gone. Returns false if a newer report is known.
+    pub fn record_gone_at_peer(&mut self, gone: &GoneEndpoint, now_ms: u64) -> bool {
+        let number = gone.last_report;
+        match self.newest.get_mut(&gone.endpoint) {
+            Some(known) if known.number > number => return false,
+            Some(known) => *known = Report { number, gone_ms: Some(now_ms), ..known.clone() },
+            None => {
+                let report = Report { number, value: Bytes::new(), gone_ms: Some(now_ms) };
+                self.newest.insert(gone.endpoint.clone(), report);
+            }
+        }
+        true
+    }
+
+    /// What to tell peers of an endpoint that is gone; `None` if it is not.
+    pub fn gone(&self, endpoint: &Name) -> Option<GoneEndpoint> {
+        let report = self.newest.get(endpoint).filter(|it| it.gone_ms.is_some())?;
+        Some(GoneEndpoint { endpoint: endpoint.clone(), last_report: report.number })
+    }
+
     /// What is known of an endpoint, unless the report with this number is newer.
     pub fn known(&self, endpoint: &str, number: ReportNumber) -> Option<KnownReport> {
         let report = self.newest.get(endpoint).filter(|it| it.number >= number)?;
--- a/crates/core/tests/restored_store.rs
+++ b/crates/core/tests/restored_store.rs
@@ -46,6 +46,22 @@
     assert_eq!(reports.known("i-1", number(5, 8)), None);
 }
 
+#[test]
+fn what_a_peer_knows_of_endpoints_that_are_gone_is_believed_unless_a_newer_report_is_known() {
+    let (endpoint, value) = (Name::from("i-1"), Bytes::from_static(b"ready"));
+    let (mut peer, mut own) = (EndpointReports::default(), EndpointReports::default());
+    peer.record(&endpoint, number(5, 7), &value);
+    assert_eq!(peer.gone(&endpoint), None);
+    peer.record_gone("i-1", 1_000);
+    let gone = peer.gone(&endpoint).expect("it is gone");
+    assert!(own.record_gone_at_peer(&gone, 1_000));
+    assert_eq!(own.known("i-1", number(5, 7)), Some(KnownReport::Gone));
+    assert_eq!(own.known("i-1", number(5, 8)), None);
+    own.record(&endpoint, number(5, 8), &value);
+    assert!(!own.record_gone_at_peer(&gone, 1_000));
+    assert_eq!(own.known("i-1", number(5, 8)), Some(KnownReport::Live(value)));
+}
+
 #[test]
 fn endpoints_that_are_gone_for_long_are_forgotten() {
     let mut reports = EndpointReports::default();
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -7,6 +7,7 @@
     Name,
     compacted_log::Record,
     endpoint_limits::LimitUpdate,
+    endpoint_reports::GoneEndpoint,
     load_reports::EndpointLoad,
     roster::RosterNews,
     suspects::{Suspect, SuspectUpdates},
@@ -60,6 +61,8 @@
     pub(crate) configuration: Vec<Record>,
     /// Endpoint records that the other lacks.
     pub(crate) endpoints: Vec<Record>,
+    /// Endpoints that are gone although the store lists them, if the other knows fewer such.
+    pub(crate) gone: Vec<GoneEndpoint>,
     /// `endpoints` is complete: other endpoints that the other knows are gone.
     pub(crate) endpoints_are_all: bool,
     /// Time since this list of endpoints was current, in milliseconds; `u64::MAX` if the other must
@@ -79,6 +82,8 @@
     pub(crate) endpoints_era: u64,
     /// Version of the configuration in force; 0 if there is none.
     pub(crate) configuration_version: u64,
+    /// Number of endpoints that are known to be gone although the store lists them.
+    pub(crate) gone_but_listed: u32,
 }
 
 /// Response to a report: what the receiver knows and the sender does not.
@@ -96,3 +101,11 @@
     /// Limits that endpoints named recently.
     pub(crate) limits: Vec<LimitUpdate>,
 }
+
+impl Position {
+    /// Whether an instance at this position has to be told of endpoints that are gone, of which one
+    /// at `other` knows more.
+    pub(crate) fn lacks_gone_endpoints(self, other: Position) -> bool {
+        self.endpoints_era == other.endpoints_era && self.gone_but_listed < other.gone_but_listed
+    }
+}
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -26,6 +26,7 @@
         known: position,
         configuration: view.configuration_newer_than(known.configuration_version),
         endpoints: catch_up.records,
+        gone: view.gone_but_listed(known),
         endpoints_are_all: catch_up.is_complete,
         age_ms: age_ms.unwrap_or(u64::MAX),
     }
@@ -48,6 +49,7 @@
         let changes = Changes { records, next: end, era: Some(era) };
         view.apply_changes(gateway, decoders, Topic::Endpoints, changes)
     };
+    view.apply_gone(gateway, decoders, &news.gone);
     drop(view);
     if is_applied {
         gateway.confirm_endpoints(news.age_ms);
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -176,12 +176,14 @@
         *self.lock_hub() = HubStatus { responded_ms, data_age_ms, known, members };
     }
 
-    /// Up to where the hub knows the store's topics, if its data is old.
-    pub(crate) fn hub_lacks(&self) -> Option<Position> {
+    /// Up to where the hub knows the store's topics, if its data is old or it knows fewer of the
+    /// endpoints that are gone than this instance, which knows up to `own`.
+    pub(crate) fn hub_lacks(&self, own: Position) -> Option<Position> {
         let hub = *self.lock_hub();
         // Without an end it only said that this instance must read the store itself.
         let has_responded = hub.responded_ms > 0 && hub.known.endpoints_end > 0;
-        (has_responded && is_behind(hub.data_age_ms)).then_some(hub.known)
+        let lacks = is_behind(hub.data_age_ms) || hub.known.lacks_gone_endpoints(own);
+        (has_responded && lacks).then_some(hub.known)
     }
 
     /// Records that this instance is the hub.
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -103,7 +103,8 @@
     let gateway = follower.gateway();
     let (loads, instances) = (gateway.balancer().local_loads(), 1);
     let mut report = build_report(follower, &hub.name, SenderRole::Member, loads, instances);
-    report.request.store = gateway.peers.hub_lacks().map(|it| news::collect(follower, it, false));
+    let lacks = gateway.peers.hub_lacks(report.request.known);
+    report.request.store = lacks.map(|it| news::collect(follower, it, false));
     match exchange::send(gateway, &hub.name, hub.control, &report.request, ZONE_TIMEOUT).await {
         Some(Exchange { mut response, load_bytes }) => {
             apply_findings(gateway, &hub.name, &report, &mut response);
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -69,6 +69,7 @@
             configuration_era: self.configuration.era(),
             endpoints_era: self.endpoints.era(),
             configuration_version: self.in_force.as_ref().map_or(0, |it| it.version),
+            gone_but_listed: self.listed_again_until.len() as u32,
         }
     }
 
--- a/crates/gateway/src/view/restored.rs
+++ b/crates/gateway/src/view/restored.rs
@@ -2,12 +2,17 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use tanagergauge_core::{Name, compacted_log::Record, endpoint_reports::KnownReport};
+use tanagergauge_core::{
+    Name,
+    compacted_log::Record,
+    endpoint_reports::{GoneEndpoint, KnownReport},
+};
 
 use super::{ChangeReport, LOG_TARGET, StoreView, endpoint::report_number, keys};
 use crate::{
     clock,
     gateway::Gateway,
+    peers::Position,
     store::{Decoders, Snapshot, Topic},
 };
 
@@ -38,9 +43,7 @@
                     self.endpoints.put(Record { value: Some(value), ..record }, true);
                 }
                 Some(KnownReport::Gone) => {
-                    tracing::info!(target: LOG_TARGET, endpoint = %record.key, "an endpoint that is gone is listed again");
-                    let until_ms = clock::now_ms() + LISTED_AGAIN_WAIT_MS;
-                    self.listed_again_until.insert(record.key.clone(), until_ms);
+                    self.wait_for_report(&record.key);
                     self.endpoints.put(record, true);
                 }
             }
@@ -66,6 +69,43 @@
         self.reports.known(&record.key, report_number(&entry))
     }
 
+    /// Does not use an endpoint that is gone and listed again until it reports, or for some time.
+    fn wait_for_report(&mut self, endpoint: &Name) {
+        tracing::info!(target: LOG_TARGET, %endpoint, "an endpoint that is gone is listed again");
+        let until_ms = clock::now_ms() + LISTED_AGAIN_WAIT_MS;
+        self.listed_again_until.insert(endpoint.clone(), until_ms);
+    }
+
+    /// Endpoints that are gone although the store lists them, if a peer at a position knows fewer.
+    pub(crate) fn gone_but_listed(&self, peer: Position) -> Vec<GoneEndpoint> {
+        if !peer.lacks_gone_endpoints(self.position()) {
+            return Vec::new();
+        }
+        self.listed_again_until.keys().filter_map(|it| self.reports.gone(it)).collect()
+    }
+
+    /// Applies what a peer knows of endpoints that are gone although the store lists them.
+    pub(crate) fn apply_gone(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        decoders: &Decoders,
+        gone: &[GoneEndpoint],
+    ) {
+        for it in gone {
+            let key = &it.endpoint;
+            let value = self.endpoints.value(key).cloned();
+            let entry = value.and_then(|it| (decoders.endpoint)(&it).ok());
+            let is_old = entry.is_some_and(|entry| report_number(&entry) <= it.last_report);
+            if is_old
+                && !self.listed_again_until.contains_key(key)
+                && self.reports.record_gone_at_peer(it, clock::now_ms())
+            {
+                self.remove_endpoint(gateway, key);
+                self.wait_for_report(key);
+            }
+        }
+    }
+
     /// Removes endpoints whose entries went missing and did not reappear within the grace period, and
     /// uses those again that stayed listed after the store came back from a copy.
     pub(crate) fn end_waits(&mut self, gateway: &Arc<Gateway>, decoders: &Decoders) {
