--- a/crates/core/src/endpoint_limits.rs
+++ b/crates/core/src/endpoint_limits.rs
@@ -155,9 +155,9 @@
         self.by_endpoint.retain(|_, it| now_ms.saturating_sub(it.updated_ms) < MAX_AGE_MS);
     }
 
-    /// Updates the place of this instance among all.
-    pub fn set_position(&mut self, position: FleetPosition) {
-        self.position = position;
+    /// Updates the place of this instance among all. Returns whether that is a change.
+    pub fn set_position(&mut self, position: FleetPosition) -> bool {
+        std::mem::replace(&mut self.position, position) != position
     }
 
     /// Whether a request may be sent to an endpoint.
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -84,7 +84,10 @@
 fn update_limits(gateway: &Gateway, position: FleetPosition, now_ms: u64) {
     let mut balancer = gateway.balancer();
     let limits = balancer.limits_mut();
-    limits.set_position(position);
+    if limits.set_position(position) {
+        let FleetPosition { rank, instances } = position;
+        tracing::info!(rank, instances, "share of limits changed");
+    }
     limits.expire(now_ms);
 }
 
