Divide the retry budgets among all instances that are known

It now follows what instances know of each other, as limits do, from the first read of the list on.

The test of shares in membership failed with this part ('all share the retry budgets') and passes.

--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -52,7 +52,6 @@
     };
     register(&gateway, &*store, &value).await;
     let mut backoff = Backoff::new(INITIAL_ROSTER_BACKOFF, MAX_ROSTER_BACKOFF);
-    let mut is_first = true;
     loop {
         gateway.suspects().expire(clock::unix_ms());
         let era = gateway.store_era();
@@ -60,9 +59,6 @@
             Ok(snapshot) => {
                 let is_listed = snapshot.records.iter().any(|it| it.key == settings.instance);
                 update_roster(&gateway, snapshot);
-                if std::mem::take(&mut is_first) {
-                    gateway.peers.set_list_new();
-                }
                 backoff.reset();
                 if !is_listed {
                     tracing::info!(target: LOG_TARGET, era, "the entry of this instance is missing; writing it again");
@@ -114,8 +110,15 @@
             }
         }
     }
-    let instances = roster.len() + UNLISTED_INSTANCES;
+    let known = roster.len();
     drop(roster);
+    gateway.peers.set_list_read();
+    share_budgets(gateway, known);
+}
+
+/// Divides the retry budgets among the known instances.
+pub(super) fn share_budgets(gateway: &Gateway, known: usize) {
+    let instances = known + UNLISTED_INSTANCES;
     if gateway.budgets().set_instances(instances) {
         tracing::info!(target: LOG_TARGET, instances, "instances that share the budget of repeats");
     }
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -32,8 +32,8 @@
     suspect_cursors: Mutex<HashMap<Name, SyncCursors>>,
     /// What each peer that this instance reports to last told of its own list of instances.
     peer_summaries: Mutex<HashMap<Name, RosterSummary>>,
-    /// The list of instances was read, and this instance has not acted on it yet.
-    is_list_new: AtomicBool,
+    /// The list of instances was read from the store.
+    is_list_read: AtomicBool,
 }
 
 /// Peers' reports of requests in progress.
@@ -155,14 +155,14 @@
         self.peer_summaries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that the list of instances was read for the first time.
-    pub(crate) fn set_list_new(&self) {
-        self.is_list_new.store(true, Ordering::Relaxed);
+    /// Records that the list of instances was read from the store.
+    pub(crate) fn set_list_read(&self) {
+        self.is_list_read.store(true, Ordering::Relaxed);
     }
 
-    /// Whether the list of instances was read for the first time since the last call.
-    pub(crate) fn take_list_new(&self) -> bool {
-        self.is_list_new.swap(false, Ordering::Relaxed)
+    /// Whether the list of instances was read from the store.
+    pub(crate) fn is_list_read(&self) -> bool {
+        self.is_list_read.load(Ordering::Relaxed)
     }
 
     fn lock_suspect_cursors(&self) -> MutexGuard<'_, HashMap<Name, SyncCursors>> {
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -41,11 +41,13 @@
     let local = local_peer(&gateway);
     gateway.peers.roster().put(local.clone());
     tokio::spawn(registration::run(Arc::clone(&gateway), store));
+    let mut is_announced = false;
     loop {
         let begin = Instant::now();
         let interval_ms = send_reports(&follower, &local).await;
-        if gateway.peers.take_list_new() {
+        if !is_announced && gateway.peers.is_list_read() {
             announce::hub(&follower, &local).await;
+            is_announced = true;
         }
         if !gateway.is_initialized() {
             ask_seeds(&follower).await;
@@ -64,6 +66,9 @@
         let hub = roster.hub(&local.zone, &local.name, now_ms).cloned();
         let position = roster.position(&local.name, gateway.peers.live_instances());
         update_limits(gateway, position, now_ms);
+        if gateway.peers.is_list_read() {
+            registration::share_budgets(gateway, roster.len());
+        }
         (hub, roster.members(&local.zone).count(), roster.zones().len())
     };
     match hub {
