Tell the hub of another zone of gone endpoints in either direction

Traced in the kept logs: the new instance, in another zone, had read the copy 0.2 s before its peers saw the return. Cause: only a response told of gone endpoints, and of two zones' hubs only one asks; the other heard nothing unless its own data grew old.

A report now carries what its receiver lacked at its last response.

--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -48,7 +48,8 @@
     pub(crate) limits: Vec<LimitUpdate>,
     /// What the sender knows of other instances.
     pub(crate) roster: RosterNews,
-    /// What the receiver lacks of the store's topics, if its own data was old at its last response.
+    /// What the receiver lacks of the store's topics, if its data was old at its last response or it
+    /// knew fewer of the endpoints that are gone.
     pub(crate) store: Option<StoreNews>,
 }
 
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -30,12 +30,20 @@
     live_instances: Mutex<LiveInstances>,
     /// Cursors of the exchange of suspects with each peer that this instance reports to.
     suspect_cursors: Mutex<HashMap<Name, SyncCursors>>,
-    /// What each peer that this instance reports to last told of its own list of instances.
-    peer_summaries: Mutex<HashMap<Name, RosterSummary>>,
+    /// What each peer that this instance reports to last told of what it knows.
+    peer_knowledge: Mutex<HashMap<Name, PeerKnowledge>>,
     /// The list of instances was read from the store.
     is_list_read: AtomicBool,
 }
 
+/// What a peer told of what it knows.
+#[derive(Clone, Copy, Debug, Default)]
+struct PeerKnowledge {
+    roster: RosterSummary,
+    /// Up to where it knows the store's topics.
+    known: Position,
+}
+
 /// Peers' reports of requests in progress.
 #[derive(Debug, Default)]
 pub(crate) struct PeerReports {
@@ -141,18 +149,29 @@
 
     /// What to tell a peer of the instances that this one knows.
     pub(crate) fn roster_news_for(&self, peer: &str) -> RosterNews {
-        let told = self.lock_peer_summaries().get(peer).copied().unwrap_or_default();
+        let told = self.peer_knowledge(peer).roster;
         self.roster().news_for(told, clock::now_ms())
     }
 
-    /// Records what a peer told of the instances that it knows.
-    pub(crate) fn record_roster_news(&self, peer: &Name, news: RosterNews) {
-        self.lock_peer_summaries().insert(peer.clone(), news.summary);
+    /// Up to where a peer knows the store's topics, if it has to be told of endpoints that are gone by
+    /// this instance, which knows up to `own`.
+    pub(crate) fn lacks_gone_endpoints(&self, peer: &str, own: Position) -> Option<Position> {
+        Some(self.peer_knowledge(peer).known).filter(|it| it.lacks_gone_endpoints(own))
+    }
+
+    /// Records what a peer told of what it knows.
+    pub(crate) fn record_peer_knowledge(&self, peer: &Name, news: RosterNews, known: Position) {
+        let knowledge = PeerKnowledge { roster: news.summary, known };
+        self.lock_peer_knowledge().insert(peer.clone(), knowledge);
         self.roster().add_unknown(news.all);
     }
 
-    fn lock_peer_summaries(&self) -> MutexGuard<'_, HashMap<Name, RosterSummary>> {
-        self.peer_summaries.lock().unwrap_or_else(PoisonError::into_inner)
+    fn peer_knowledge(&self, peer: &str) -> PeerKnowledge {
+        self.lock_peer_knowledge().get(peer).copied().unwrap_or_default()
+    }
+
+    fn lock_peer_knowledge(&self) -> MutexGuard<'_, HashMap<Name, PeerKnowledge>> {
+        self.peer_knowledge.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records that the list of instances was read from the store.
@@ -176,14 +195,12 @@
         *self.lock_hub() = HubStatus { responded_ms, data_age_ms, known, members };
     }
 
-    /// Up to where the hub knows the store's topics, if its data is old or it knows fewer of the
-    /// endpoints that are gone than this instance, which knows up to `own`.
-    pub(crate) fn hub_lacks(&self, own: Position) -> Option<Position> {
+    /// Up to where the hub knows the store's topics, if its data is old.
+    pub(crate) fn hub_lacks(&self) -> Option<Position> {
         let hub = *self.lock_hub();
         // Without an end it only said that this instance must read the store itself.
         let has_responded = hub.responded_ms > 0 && hub.known.endpoints_end > 0;
-        let lacks = is_behind(hub.data_age_ms) || hub.known.lacks_gone_endpoints(own);
-        (has_responded && lacks).then_some(hub.known)
+        (has_responded && is_behind(hub.data_age_ms)).then_some(hub.known)
     }
 
     /// Records that this instance is the hub.
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -111,8 +111,9 @@
     let gateway = follower.gateway();
     let (loads, instances) = (gateway.balancer().local_loads(), 1);
     let mut report = build_report(follower, &hub.name, SenderRole::Member, loads, instances);
-    let lacks = gateway.peers.hub_lacks(report.request.known);
-    report.request.store = lacks.map(|it| news::collect(follower, it, false));
+    if let Some(known) = gateway.peers.hub_lacks() {
+        report.request.store = Some(news::collect(follower, known, false));
+    }
     match exchange::send(gateway, &hub.name, hub.control, &report.request, ZONE_TIMEOUT).await {
         Some(Exchange { mut response, load_bytes }) => {
             apply_findings(gateway, &hub.name, &report, &mut response);
@@ -221,6 +222,7 @@
     let gateway = follower.gateway();
     let Peer { name, zone, control } = local_peer(gateway);
     let known = follower.view().position();
+    let lacks = gateway.peers.lacks_gone_endpoints(peer, known);
     let cursors = gateway.peers.suspect_cursors(peer);
     let suspects = gateway.suspects().updates_since(cursors.acked_by_peer);
     let request = SyncRequest {
@@ -236,12 +238,12 @@
         suspects_received: cursors.received_from_peer,
         roster: gateway.peers.roster_news_for(peer),
         limits: gateway.balancer().limits().updates(clock::now_ms()),
-        store: None,
+        store: lacks.map(|it| news::collect(follower, it, true)),
     };
     Report { request, suspects_sent: suspects.next }
 }
 
-/// Applies the limits, suspects and instances in a peer's response and updates the cursors of the exchange.
+/// Applies the limits, suspects and instances in a peer's response, records what it knows, and updates the cursors of the exchange.
 pub(super) fn apply_findings(
     gateway: &Gateway,
     peer: &Name,
@@ -254,5 +256,6 @@
     let cursors = gateway.peers.suspect_cursors(peer).advance(report.suspects_sent, updates.next);
     gateway.peers.set_suspect_cursors(peer, cursors);
     gateway.suspects().merge(updates.suspects);
-    gateway.peers.record_roster_news(peer, std::mem::take(&mut response.roster));
+    let roster = std::mem::take(&mut response.roster);
+    gateway.peers.record_peer_knowledge(peer, roster, response.store.known);
 }
