Log how failed attempts' answers were framed, and whether streams are of events

The fields are event_stream and upstream_framing of 'sending failed', and event_stream of 'request ended'.

--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -10,7 +10,7 @@
     send_history::{Failure, SendHistory},
 };
 
-use crate::{clock, meters, request::Request};
+use crate::{attempt::UpstreamResponse, clock, meters, request::Request, upstream_response};
 
 /// Log target that deployed log filters select; it is independent of the module path.
 const LOG_TARGET: &str = "tanagergauge_gateway::course";
@@ -42,15 +42,26 @@
     pub(crate) last_failure: Option<Failure>,
     /// Time from the request's arrival to the first byte of a response, in milliseconds.
     pub(crate) first_byte_ms: Option<u64>,
-    /// How the endpoint whose response is delivered framed it; the last one of a resumed stream.
+    /// How the latest endpoint framed its response; `None` if there was no valid one.
     pub(crate) upstream_framing: Option<Framing>,
-    /// What is known of the end of that response; `None` if it failed.
+    /// Whether that response is a stream of events; `None` if the route has no streams.
+    pub(crate) is_event_stream: Option<bool>,
+    /// What is known of the end of the response that is delivered; `None` if it failed.
     pub(crate) upstream_end: Option<BodyEnd>,
     /// How the response to the caller is framed.
     pub(crate) caller_framing: Option<Framing>,
 }
 
 impl RequestProgress {
+    /// Records how an endpoint's response is framed, or that the next attempt has none yet.
+    pub(crate) fn set_response(&mut self, request: &Request, response: Option<&UpstreamResponse>) {
+        self.upstream_framing = response.map(|it| it.framing);
+        let is_event_stream =
+            |it: &UpstreamResponse| upstream_response::is_event_stream(&it.head.headers);
+        let is_stream = request.route.retry_safety.is_stream();
+        self.is_event_stream = response.filter(|_| is_stream).map(is_event_stream);
+    }
+
     /// Records and logs a failed attempt.
     pub(crate) fn attempt_failed(&mut self, request: &Request, endpoint: &Name, failure: Failure) {
         meters::attempt_failed(failure);
@@ -64,6 +75,8 @@
             at_ms = clock::elapsed_ms(request.arrived),
             left_ms = clock::as_ms(request.time_left()),
             list_age_ms = self.list_age_ms,
+            event_stream = self.is_event_stream,
+            upstream_framing = self.upstream_framing.map(<&str>::from),
             // A request that crashes endpoints may share only one of them with other such requests.
             parts = (failure == Failure::Broke).then(|| prompt_part::format_ids(&request.parts)),
             "sending failed"
@@ -114,6 +127,7 @@
             unreachable = self.send_history.unreachable,
             last_failure = self.last_failure.map(<&str>::from),
             resumed,
+            event_stream = self.is_event_stream,
             upstream_framing = self.upstream_framing.map(<&str>::from),
             upstream_end = self.upstream_end.map(<&str>::from),
             caller_framing = self.caller_framing.map(<&str>::from),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -113,10 +113,9 @@
     pub(crate) fn new(
         gateway: Arc<Gateway>,
         request: Arc<Request>,
-        mut progress: RequestProgress,
+        progress: RequestProgress,
         opened: OpenedResponse,
     ) -> Relay {
-        progress.upstream_framing = Some(opened.framing);
         let framer = request.route.retry_safety.allows_resend().then(SseFramer::default);
         let mut relay = Relay {
             gateway,
@@ -363,7 +362,6 @@
             }
             Some(opened) => {
                 self.resumed += 1;
-                self.progress.upstream_framing = Some(opened.framing);
                 self.first = Some(opened.first);
                 self.last_data = Instant::now();
                 self.state = State::streaming(opened.framing, opened.body, opened.attempt);
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -144,7 +144,9 @@
         progress.last_choice = Some(chosen.clone());
         let deadline = attempt_deadline(gateway, request, progress);
         let endpoint = chosen.id.clone();
-        match attempt::send(gateway, request, chosen, last_event_id, deadline).await {
+        let sent = attempt::send(gateway, request, chosen, last_event_id, deadline).await;
+        progress.set_response(request, sent.as_ref().ok());
+        match sent {
             Ok(response) => return Ok(response),
             Err(failure) => progress.attempt_failed(request, &endpoint, failure),
         }
