Take answers of no content type on routes of streams for streams of events

Callers saw a stream without framing end in order with a part of an event, and on as complete. Cause: whether an answer is a stream of events went by its content type alone; without one, or with application/octet-stream, which says as little, the end inside an event was not noticed, and the route's resumption not used. Why it works: on a route of streams such an answer is one of events if its first bytes may begin one; a whole answer of other content stays complete.

--- a/crates/core/src/sse_framer.rs
+++ b/crates/core/src/sse_framer.rs
@@ -9,6 +9,9 @@
 /// Number of line ends in a row that make an empty line, which ends an event.
 const EMPTY_LINE: usize = 2;
 
+/// What a line of an event begins with.
+const FIELD_STARTS: [&[u8]; 5] = [b"id:", b"data:", b"event:", b"retry:", b":"];
+
 /// Passes on complete events only and tracks the id of the last one.
 ///
 /// Events end with an empty line. Only LF is supported as a line end.
@@ -117,6 +120,11 @@
     }
 }
 
+/// Whether a stream of events may begin with these bytes: with a field, a comment or a part of them.
+pub fn may_begin_events(bytes: &[u8]) -> bool {
+    FIELD_STARTS.iter().any(|it| bytes.starts_with(it) || it.starts_with(bytes))
+}
+
 /// Number of bytes up to the end of the last complete event.
 fn complete_len(bytes: &[u8]) -> usize {
     bytes.windows(2).rposition(|it| it == b"\n\n").map_or(0, |at| at + 2)
--- a/crates/core/tests/sse_framer.rs
+++ b/crates/core/tests/sse_framer.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use quickcheck::{Gen, QuickCheck};
-use tanagergauge_core::sse_framer::{EventBoundary, SseFramer};
+use tanagergauge_core::sse_framer::{EventBoundary, SseFramer, may_begin_events};
 
 fn event(id: usize) -> String {
     format!("id: {id}\ndata: cue {id}\n\n")
@@ -98,3 +98,22 @@
     part_of_a_line_ends_no_event: [b"data: a\n\nda"] => false;
     a_line_end_after_part_of_a_line_ends_no_event: [b"data: a\n\n", b"da", b"\n"] => false;
 }
+
+/// Each test says whether a stream of events may begin with some bytes.
+macro_rules! beginnings {
+    ($($name:ident: $bytes:literal => $expected:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(may_begin_events($bytes), $expected);
+        }
+    )*};
+}
+
+beginnings! {
+    a_stream_may_begin_with_an_id: b"id: 1\ndata: a" => true;
+    a_stream_may_begin_with_a_comment: b": ping\n" => true;
+    a_stream_may_begin_with_part_of_a_field: b"da" => true;
+    a_stream_may_have_no_bytes_yet: b"" => true;
+    a_stream_does_not_begin_with_text: b"All cues" => false;
+    a_stream_does_not_begin_with_json: b"{\"id\": 1}" => false;
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -168,7 +168,7 @@
     if opened.head.status.is_success() {
         return Ok(Served::Stream(Box::new(opened)));
     }
-    let OpenedResponse { head, framing, first, body, attempt } = opened;
+    let OpenedResponse { head, framing, first, body, attempt, .. } = opened;
     let rest = attempt::collect_body(body, request.deadline).await;
     let rest = rest.map_err(|it| body_failed(request, progress, &attempt, it))?;
     let bytes = if rest.is_empty() { first } else { Bytes::from([first, rest].concat()) };
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -10,7 +10,7 @@
     send_history::{Failure, SendHistory},
 };
 
-use crate::{attempt::UpstreamResponse, clock, meters, request::Request, upstream_response};
+use crate::{clock, meters, request::Request};
 
 /// Log target that deployed log filters select; it is independent of the module path.
 const LOG_TARGET: &str = "tanagergauge_gateway::course";
@@ -44,7 +44,7 @@
     pub(crate) first_byte_ms: Option<u64>,
     /// How the latest endpoint framed its response; `None` if there was no valid one.
     pub(crate) upstream_framing: Option<Framing>,
-    /// Whether that response is a stream of events; `None` if the route has no streams.
+    /// Whether that response is a stream of events; `None` on other routes and before its first byte.
     pub(crate) is_event_stream: Option<bool>,
     /// What is known of the end of the response that is delivered; `None` if it failed.
     pub(crate) upstream_end: Option<BodyEnd>,
@@ -53,13 +53,10 @@
 }
 
 impl RequestProgress {
-    /// Records how an endpoint's response is framed, or that the next attempt has none yet.
-    pub(crate) fn set_response(&mut self, request: &Request, response: Option<&UpstreamResponse>) {
-        self.upstream_framing = response.map(|it| it.framing);
-        let is_event_stream =
-            |it: &UpstreamResponse| upstream_response::is_event_stream(&it.head.headers);
-        let is_stream = request.route.retry_safety.is_stream();
-        self.is_event_stream = response.filter(|_| is_stream).map(is_event_stream);
+    /// Records how an endpoint framed its response, or that an attempt had none.
+    pub(crate) fn set_framing(&mut self, framing: Option<Framing>) {
+        self.upstream_framing = framing;
+        self.is_event_stream = None;
     }
 
     /// Records and logs a failed attempt.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,7 +30,7 @@
     progress::RequestProgress,
     request::Request,
     retry::{OpenedResponse, open_response},
-    suspects, upstream_response,
+    suspects,
 };
 
 /// Time without an event after which a resumable stream counts as stalled, as a multiple of the route's
@@ -123,7 +123,7 @@
             state: State::streaming(opened.framing, opened.body, opened.attempt),
             first: Some(opened.first),
             framer,
-            is_event_stream: upstream_response::is_event_stream(&opened.head.headers),
+            is_event_stream: opened.is_event_stream,
             boundary: EventBoundary::default(),
             content_type: opened.head.headers.get(CONTENT_TYPE).cloned(),
             last_data: Instant::now(),
@@ -352,7 +352,7 @@
     ) {
         self.progress = progress;
         match opened {
-            Some(opened) if !self.has_same_content_type(&opened) => {
+            Some(opened) if !self.has_same_content(&opened) => {
                 tracing::warn!(
                     request = %self.request.id,
                     endpoint = %opened.attempt.chosen.id,
@@ -371,8 +371,9 @@
         }
     }
 
-    fn has_same_content_type(&self, opened: &OpenedResponse) -> bool {
-        opened.head.headers.get(CONTENT_TYPE) == self.content_type.as_ref()
+    fn has_same_content(&self, opened: &OpenedResponse) -> bool {
+        (self.is_event_stream && opened.is_event_stream)
+            || opened.head.headers.get(CONTENT_TYPE) == self.content_type.as_ref()
     }
 
     /// Aborts the stream at the next poll. When a body fails, the server discards data that it has
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -36,6 +36,8 @@
 pub(crate) struct OpenedResponse {
     pub(crate) head: response::Parts,
     pub(crate) framing: Framing,
+    /// Whether the body is a stream of events.
+    pub(crate) is_event_stream: bool,
     pub(crate) first: Bytes,
     pub(crate) body: Incoming,
     pub(crate) attempt: Attempt,
@@ -60,7 +62,7 @@
         }
         let deadline = attempt_deadline(gateway, request, progress);
         let first = match timeout_at(deadline, first_bytes(&mut body)).await {
-            Ok(Some(first)) if !(first.is_empty() && is_cut_before_events(&head, framing)) => first,
+            Ok(Some(first)) if !is_cut_before_events(&head, framing, &first) => first,
             // Nothing may be left to send after the event at which the stream goes on.
             Ok(Some(_)) if last_event_id.is_some() => {
                 record_failure(gateway, request, progress, &attempt, Failure::EndUnknown);
@@ -81,16 +83,16 @@
         ));
         progress.first_byte_ms.get_or_insert_with(|| clock::elapsed_ms(request.arrived));
         meters::first_byte(&request.route.name, request.arrived.elapsed());
-        return Ok(OpenedResponse { head, framing, first, body, attempt });
+        let is_event_stream = upstream_response::is_event_stream(&head, &first);
+        progress.is_event_stream = Some(is_event_stream);
+        return Ok(OpenedResponse { head, framing, is_event_stream, first, body, attempt });
     }
 }
 
 /// Whether a stream that ends without an event was broken off: its end is only that of the
 /// connection.
-fn is_cut_before_events(head: &response::Parts, framing: Framing) -> bool {
-    head.status.is_success()
-        && upstream_response::is_event_stream(&head.headers)
-        && !framing.shows_end()
+fn is_cut_before_events(head: &response::Parts, framing: Framing, first: &[u8]) -> bool {
+    first.is_empty() && !framing.shows_end() && upstream_response::is_event_stream(head, first)
 }
 
 /// Records a failure that came after the head of the response.
@@ -145,7 +147,7 @@
         let deadline = attempt_deadline(gateway, request, progress);
         let endpoint = chosen.id.clone();
         let sent = attempt::send(gateway, request, chosen, last_event_id, deadline).await;
-        progress.set_response(request, sent.as_ref().ok());
+        progress.set_framing(sent.as_ref().ok().map(|it| it.framing));
         match sent {
             Ok(response) => return Ok(response),
             Err(failure) => progress.attempt_failed(request, &endpoint, failure),
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -5,7 +5,8 @@
 use hyper::{
     HeaderMap, Method, StatusCode,
     header::{
-        CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, TRANSFER_ENCODING,
+        CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue,
+        TRANSFER_ENCODING,
     },
     http::response,
 };
@@ -13,12 +14,15 @@
     body_end::{BodyEnd, Framing},
     endpoint::ServerLoad,
     send_history::Failure,
+    sse_framer::may_begin_events,
 };
 
 use crate::{header_names::HeaderNames, request::Request};
 
 /// Content type of a stream of server-sent events.
-const EVENT_STREAM: &str = "text/event-stream";
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+/// Content type of bytes of any kind, which says no more than none at all (RFC 9110, section 8.3).
+const UNNAMED_CONTENT: &[u8] = b"application/octet-stream";
 /// Response headers that apply to a single connection only.
 const HOP_BY_HOP: [&str; 6] =
     ["connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding"];
@@ -94,11 +98,19 @@
     Some(Duration::from_secs(value.parse().ok()?))
 }
 
-/// Whether the body is a stream of server-sent events.
-pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
-    let content_type = headers.get(CONTENT_TYPE).map_or(&b""[..], |it| it.as_bytes());
-    let name = EVENT_STREAM.as_bytes();
-    content_type.get(..name.len()).is_some_and(|it| it.eq_ignore_ascii_case(name))
+/// Whether a response on a route of streams is a stream of events, by its content type or, where that
+/// names nothing, by its first bytes.
+pub(crate) fn is_event_stream(head: &response::Parts, first: &[u8]) -> bool {
+    let content_type = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    let media_type = media_type(content_type.unwrap_or(UNNAMED_CONTENT));
+    let is_named = media_type.eq_ignore_ascii_case(EVENT_STREAM);
+    let is_unnamed = media_type.eq_ignore_ascii_case(UNNAMED_CONTENT);
+    head.status.is_success() && (is_named || (is_unnamed && may_begin_events(first)))
+}
+
+/// A content type without its parameters.
+fn media_type(content_type: &[u8]) -> &[u8] {
+    content_type.split(|it| *it == b';').next().unwrap_or_default().trim_ascii()
 }
 
 /// What is known of the end of a body that was read completely.
