Let lines of a resumable stream end with CR LF too

A stream whose lines end with CR LF, as the standard of server-sent events allows, never had a complete event on a resumable route: its events were held back, and its end counted as one inside an event. The test of the framer failed ('' in place of the first event) and passes.

--- a/crates/core/src/sse_framer.rs
+++ b/crates/core/src/sse_framer.rs
@@ -14,7 +14,7 @@
 
 /// Passes on complete events only and tracks the id of the last one.
 ///
-/// Events end with an empty line. Only LF is supported as a line end.
+/// Events end with an empty line. Lines end with LF or CR LF.
 #[derive(Clone, Debug, Default)]
 pub struct SseFramer {
     /// The bytes received so far of an incomplete event.
@@ -76,6 +76,7 @@
         let mut line_start = 0;
         for end in positions_of(events, b'\n') {
             let line = &events[line_start..end];
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
             if line.is_empty() {
                 self.event_count += 1;
             }
@@ -127,10 +128,12 @@
 
 /// Number of bytes up to the end of the last complete event.
 fn complete_len(bytes: &[u8]) -> usize {
-    bytes.windows(2).rposition(|it| it == b"\n\n").map_or(0, |at| at + 2)
+    let ends_empty_line = |before: &[u8]| before.ends_with(b"\n") || before.ends_with(b"\n\r");
+    let mut line_ends = positions_of(bytes, b'\n').rev();
+    line_ends.find(|at| ends_empty_line(&bytes[..*at])).map_or(0, |at| at + 1)
 }
 
 /// Positions at which `byte` occurs.
-fn positions_of(bytes: &[u8], byte: u8) -> impl Iterator<Item = usize> {
+fn positions_of(bytes: &[u8], byte: u8) -> impl DoubleEndedIterator<Item = usize> {
     bytes.iter().enumerate().filter(move |(_, it)| **it == byte).map(|(at, _)| at)
 }
--- a/crates/core/tests/sse_framer.rs
+++ b/crates/core/tests/sse_framer.rs
@@ -74,6 +74,22 @@
     assert_eq!(framer.last_id().map(|it| &**it), Some(&b"7"[..]));
 }
 
+#[test]
+fn events_with_cr_lf_are_passed_on_one_by_one() {
+    let mut framer = SseFramer::default();
+    let pieces = [
+        ("id: 1\r\ndata: a\r\n\r", ""),
+        ("\nid: 2\r\nda", "id: 1\r\ndata: a\r\n\r\n"),
+        ("ta: b\r\n\r\n", "id: 2\r\ndata: b\r\n\r\n"),
+    ];
+    for (piece, complete) in pieces {
+        assert_eq!(framer.push(Bytes::from_static(piece.as_bytes())), complete);
+    }
+    assert!(framer.at_event_end());
+    assert_eq!(framer.last_id().map(|it| &**it), Some(&b"2"[..]));
+    assert_eq!(framer.event_count(), 2);
+}
+
 /// Each test adds pieces of a stream and checks whether they end with a complete event.
 macro_rules! event_boundaries {
     ($($name:ident: [$($piece:literal),*] => $expected:literal;)*) => {$(
