Move the bytes and events of a relayed stream into a type of the core

Clean-up: relay.rs held a framer, a boundary and a flag whose combinations it took apart in six places.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod endpoint_performance;
 pub mod endpoint_pool;
 pub mod endpoint_reports;
+pub mod event_forwarder;
 pub mod fact;
 pub mod fact_set;
 pub mod finding;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,8 +18,8 @@
 use tanagergauge_core::{
     Outcome, Reason,
     body_end::{BodyEnd, Framing},
+    event_forwarder::EventForwarder,
     send_history::Failure,
-    sse_framer::{EventBoundary, SseFramer},
 };
 use tokio::time::{Instant, Sleep, sleep_until};
 
@@ -87,12 +87,7 @@
     state: State,
     /// First bytes of the current endpoint's response, read when the response was opened.
     first: Option<Bytes>,
-    /// Present if the stream can be resumed at another endpoint.
-    framer: Option<SseFramer>,
-    /// Whether the body is a stream of events. One that ends inside an event was broken off.
-    is_event_stream: bool,
-    /// Where the bytes that were forwarded end, if the stream cannot be resumed.
-    boundary: EventBoundary,
+    events: EventForwarder,
     /// Content type of the stream; a response that resumes it must have the same.
     content_type: Option<HeaderValue>,
     /// When bytes last became forwardable.
@@ -116,15 +111,13 @@
         progress: RequestProgress,
         opened: OpenedResponse,
     ) -> Relay {
-        let framer = request.route.retry_safety.allows_resend().then(SseFramer::default);
+        let can_resume = request.route.retry_safety.allows_resend();
         let mut relay = Relay {
             gateway,
             progress,
             state: State::streaming(opened.framing, opened.body, opened.attempt),
             first: Some(opened.first),
-            framer,
-            is_event_stream: opened.is_event_stream,
-            boundary: EventBoundary::default(),
+            events: EventForwarder::new(can_resume, opened.is_event_stream),
             content_type: opened.head.headers.get(CONTENT_TYPE).cloned(),
             last_data: Instant::now(),
             timer: Box::pin(sleep_until(request.deadline)),
@@ -178,20 +171,20 @@
 
     fn poll_upstream(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
         if let Some(first) = self.first.take() {
-            return Poll::Ready(Step::Bytes(self.forwardable(first)));
+            return Poll::Ready(Step::Bytes(self.events.push(first)));
         }
         let State::Streaming(upstream) = &mut self.state else { return Poll::Ready(Step::End) };
         let shows_end = upstream.framing.shows_end();
         match Pin::new(&mut upstream.body).poll_frame(cx) {
-            Poll::Ready(None) if self.is_inside_event() => {
+            Poll::Ready(None) if self.events.is_inside_event() => {
                 Poll::Ready(Step::Failed(Failure::Broke))
             }
             Poll::Ready(None) if !shows_end => Poll::Ready(Step::UnknownEnd),
             Poll::Ready(None) => Poll::Ready(Step::End),
             Poll::Ready(Some(Err(_))) => Poll::Ready(Step::Failed(Failure::Broke)),
             Poll::Ready(Some(Ok(frame))) => {
-                let bytes = self.forwardable(frame.into_data().unwrap_or_default());
-                if self.framer.as_ref().is_some_and(SseFramer::is_partial_too_long) {
+                let bytes = self.events.push(frame.into_data().unwrap_or_default());
+                if self.events.is_event_too_long() {
                     return Poll::Ready(Step::Failed(Failure::BadAnswer));
                 }
                 if !bytes.is_empty() {
@@ -223,7 +216,7 @@
     /// Sets the timer to the earliest time at which the stream may be stalled or past its deadline.
     fn reset_timer(&mut self) {
         let stalled_at = self.last_data + self.stall_timeout();
-        let at = if self.framer.is_some() {
+        let at = if self.events.can_resume() {
             stalled_at.min(self.request.deadline)
         } else {
             self.request.deadline
@@ -234,33 +227,13 @@
     /// Time without an event after which the stream counts as stalled. A stream that cannot be resumed
     /// ends at the caller's deadline instead.
     fn stall_timeout(&self) -> Duration {
-        if self.framer.is_none() {
+        if !self.events.can_resume() {
             return Duration::from_secs(3_600);
         }
         let gap_goal = Duration::from_millis(self.request.route.event_gap_goal_ms.unwrap_or(0));
         (gap_goal * STALL_TIMEOUT_GAP_FACTOR).max(MIN_STALL_TIMEOUT)
     }
 
-    /// The part of the received bytes to forward now: complete events if the stream can be resumed.
-    fn forwardable(&mut self, bytes: Bytes) -> Bytes {
-        match &mut self.framer {
-            Some(framer) => framer.push(bytes),
-            None => {
-                self.boundary.push(&bytes);
-                bytes
-            }
-        }
-    }
-
-    /// Whether an event has begun and is not complete.
-    fn is_inside_event(&self) -> bool {
-        let at_event_end = match &self.framer {
-            Some(framer) => framer.at_event_end(),
-            None => self.boundary.at_event_end(),
-        };
-        self.is_event_stream && !at_event_end
-    }
-
     /// Ends a stream whose connection brought no error; returns the bytes that were held back.
     fn end(&mut self, end: BodyEnd) -> Option<Result<Bytes, BodyAborted>> {
         let state = std::mem::replace(&mut self.state, State::Done);
@@ -272,7 +245,7 @@
         }
         self.progress.upstream_end = Some(end);
         self.report(Outcome::Answered, None);
-        let rest = self.framer.as_mut().map(SseFramer::take_partial).unwrap_or_default();
+        let rest = self.events.take_rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
@@ -295,7 +268,7 @@
         cx: &mut Context<'_>,
     ) -> Option<Poll<Option<Result<Bytes, BodyAborted>>>> {
         let shows_end = self.progress.caller_framing.is_none_or(Framing::shows_end);
-        let can_resume = self.framer.is_some();
+        let can_resume = self.events.can_resume();
         let failure = match endpoint {
             EndpointState::Crashed => Failure::Broke,
             EndpointState::Unknown if can_resume => Failure::EndUnknown,
@@ -317,13 +290,11 @@
             self.progress.attempt_failed(&self.request, &chosen.id, failure);
         }
         let past_deadline = Instant::now() >= self.request.deadline;
-        match &mut self.framer {
-            Some(framer) if !past_deadline => {
-                framer.discard_partial();
-                let last_id = framer.last_id().cloned();
-                self.state = State::Resuming(self.resume(last_id, failure));
-            }
-            _ => self.abort(failure, cx),
+        if self.events.can_resume() && !past_deadline {
+            let last_id = self.events.begin_resume();
+            self.state = State::Resuming(self.resume(last_id, failure));
+        } else {
+            self.abort(failure, cx);
         }
     }
 
@@ -333,7 +304,7 @@
         let mut progress = std::mem::take(&mut self.progress);
         tracing::info!(
             request = %request.id,
-            events = self.framer.as_ref().map_or(0, SseFramer::event_count),
+            events = self.events.event_count(),
             reason = %failure,
             "stream broke; another endpoint is asked to continue"
         );
@@ -372,7 +343,7 @@
     }
 
     fn has_same_content(&self, opened: &OpenedResponse) -> bool {
-        (self.is_event_stream && opened.is_event_stream)
+        (self.events.is_event_stream() && opened.is_event_stream)
             || opened.head.headers.get(CONTENT_TYPE) == self.content_type.as_ref()
     }
 
