--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue/mod.rs
@@ -2,10 +2,17 @@
 //! client accounts, and a minimum share of dispatches for each class (its floor) against
 //! starvation.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod entry;
+mod eviction;
+mod settings;
+mod tier;
+
+use std::collections::HashMap;
 
 use indexmap::IndexMap;
 
+use self::tier::{LaneKey, Tier};
+pub use self::{entry::Entry, settings::QueueSettings};
 use crate::{Name, Reason, account_shares::AccountShares};
 
 /// Credit that one dispatch takes, in percent. A class with this credit is owed a dispatch by its
@@ -15,84 +22,6 @@
 /// Maximum credit or debt of a class, in percent of a dispatch.
 const MAX_CREDIT: i64 = 200;
 
-/// Limits of a queue and its optional mechanisms.
-#[derive(Clone, Debug)]
-pub struct QueueSettings {
-    /// Maximum number of entries.
-    pub max_entries: usize,
-    /// Maximum total size of the entries, in bytes.
-    pub max_bytes: usize,
-    /// A class that waits this long without a dispatch gets one whatever the tiers above it have
-    /// queued, in milliseconds.
-    pub floor_window_ms: u64,
-    /// Dispatch higher tiers first; otherwise in order of arrival.
-    pub tiers: bool,
-    /// Within a tier, dispatch accounts furthest below their share first; otherwise in order of
-    /// arrival.
-    pub shares: bool,
-    /// Guarantee each class its floor.
-    pub floors: bool,
-    /// Within a tier, dispatch requests that can still meet their first-token target before those
-    /// that cannot.
-    pub late_last: bool,
-}
-
-impl Default for QueueSettings {
-    fn default() -> QueueSettings {
-        QueueSettings {
-            max_entries: 20_000,
-            max_bytes: 16 << 20,
-            floor_window_ms: 10_000,
-            tiers: true,
-            shares: true,
-            floors: true,
-            late_last: true,
-        }
-    }
-}
-
-impl QueueSettings {
-    /// First in, first out over all tiers and accounts, as a baseline for comparison.
-    pub fn fifo() -> QueueSettings {
-        QueueSettings {
-            tiers: false,
-            shares: false,
-            floors: false,
-            late_last: false,
-            ..QueueSettings::default()
-        }
-    }
-}
-
-/// A queued request.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    /// Unique in the queue.
-    pub id: u64,
-    /// Service class.
-    pub class: Name,
-    /// Rank of the class's tier; 0 is the most urgent.
-    pub tier_rank: usize,
-    /// The class's floor: the share of dispatches it gets under any load, in percent.
-    pub floor_percent: u32,
-    /// Client account.
-    pub account: Name,
-    /// Model or service requested.
-    pub target: Name,
-    /// Memory held by the request, in bytes.
-    pub bytes: usize,
-    /// Time of arrival, in milliseconds.
-    pub arrived_ms: u64,
-    /// Latest dispatch that can still meet the deadline, in milliseconds.
-    pub start_by_ms: u64,
-    /// Latest dispatch that can still meet the first-token target, in milliseconds.
-    pub first_token_start_by_ms: u64,
-    /// Expected cost of prompt and output, in output tokens.
-    pub cost_tokens: u64,
-    /// Whether an earlier attempt has delivered tokens; such an entry is never evicted.
-    pub is_resumption: bool,
-}
-
 /// Result of [`Queue::push`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum PushOutcome {
@@ -167,42 +96,6 @@
     now_ms: u64,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Tier {
-    lanes: IndexMap<LaneKey, Lane>,
-    /// Entries of lanes that are not late, as ([`Entry::first_token_start_by_ms`], id).
-    on_time: BTreeSet<(u64, u64)>,
-    /// All entries of the tier, as ([`Entry::start_by_ms`], id).
-    start_by: BTreeSet<(u64, u64)>,
-    /// Total size of the entries that may be evicted.
-    evictable_bytes: usize,
-    /// Number of entries that may be evicted.
-    evictable_count: usize,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct LaneKey {
-    class: Name,
-    target: Name,
-    /// Whether its entries can no longer meet their first-token target.
-    is_late: bool,
-}
-
-/// Entries of one class and target, by account. Flows without entries are removed.
-#[derive(Clone, Debug, Default)]
-struct Lane {
-    flows: IndexMap<Name, Flow>,
-    /// Total expected cost of the lane's entries.
-    cost_tokens: u64,
-}
-
-/// Entries of one account in a lane, by arrival time and id.
-#[derive(Clone, Debug, Default)]
-struct Flow {
-    entries: BTreeMap<(u64, u64), Entry>,
-    bytes: usize,
-}
-
 /// Where an entry is stored.
 #[derive(Clone, Debug)]
 struct Location {
@@ -400,78 +293,6 @@
         self.attach(entry, lane);
     }
 
-    /// Evicts entries until the new one fits: from lower tiers if those suffice, else a single
-    /// entry of an account above its share in the same tier. Returns `None`, without evicting
-    /// anything, if neither makes enough room.
-    fn evict_for(&mut self, entry: &Entry, shares: &AccountShares) -> Option<Vec<Entry>> {
-        if !self.settings.tiers {
-            return None;
-        }
-        let mut evicted = Vec::new();
-        if self.lower_tiers_suffice(entry) {
-            while !self.fits(entry) {
-                let id = self.evictable_in_lowest_tier(entry.tier_rank, shares)?;
-                evicted.extend(self.remove(id));
-            }
-            return Some(evicted);
-        }
-        if !self.settings.shares {
-            return None;
-        }
-        let id = self.evictable_over_share(entry, shares)?;
-        let freed = self.entry(id)?.bytes;
-        if self.bytes - freed + entry.bytes > self.settings.max_bytes {
-            return None;
-        }
-        evicted.extend(self.remove(id));
-        Some(evicted)
-    }
-
-    /// Whether evicting entries of lower tiers can make enough room for the new entry.
-    fn lower_tiers_suffice(&self, entry: &Entry) -> bool {
-        let lower = self.tiers.iter().skip(entry.tier_rank + 1);
-        let (count, bytes) = lower.fold((0, 0), |(count, bytes), it| {
-            (count + it.evictable_count, bytes + it.evictable_bytes)
-        });
-        count >= 1 && self.bytes - bytes + entry.bytes <= self.settings.max_bytes
-    }
-
-    /// The newest evictable entry of the account furthest above its share, in the lowest tier that
-    /// has any below `rank`.
-    fn evictable_in_lowest_tier(&self, rank: usize, shares: &AccountShares) -> Option<u64> {
-        let lowest =
-            (rank + 1..self.tiers.len()).rev().find(|&it| self.tiers[it].evictable_count > 0)?;
-        let flows = self.tiers[lowest].lanes.values().flat_map(|it| &it.flows);
-        flows
-            .filter_map(|(account, flow)| {
-                Some((shares.usage_per_share(account), flow.newest_evictable()?))
-            })
-            .max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
-            .map(|(_, (_, id))| id)
-    }
-
-    /// The newest evictable entry of the account that holds the most bytes in proportion to its
-    /// share in the new entry's tier, if the new entry's account holds less even with the new
-    /// entry.
-    fn evictable_over_share(&self, entry: &Entry, shares: &AccountShares) -> Option<u64> {
-        let tier = self.tiers.get(entry.tier_rank)?;
-        let mut held: IndexMap<&Name, usize> = IndexMap::new();
-        for (account, flow) in tier.lanes.values().flat_map(|it| &it.flows) {
-            *held.entry(account).or_default() += flow.bytes;
-        }
-        let own = held.get(&entry.account).copied().unwrap_or(0) + entry.bytes;
-        let by_share = |account: &Name, bytes: usize| bytes as f64 / shares.share_percent(account);
-        let (account, bytes) = held
-            .into_iter()
-            .filter(|(account, _)| **account != entry.account)
-            .max_by(|a, b| by_share(a.0, a.1).total_cmp(&by_share(b.0, b.1)))?;
-        if by_share(account, bytes) <= by_share(&entry.account, own) {
-            return None;
-        }
-        let flows = tier.lanes.values().filter_map(|it| it.flows.get(account));
-        flows.filter_map(Flow::newest_evictable).max().map(|(_, id)| id)
-    }
-
     fn entry(&self, id: u64) -> Option<&Entry> {
         let location = self.locations.get(&id)?;
         let lane = self.tiers[location.tier_rank].lanes.get(&location.lane)?;
@@ -600,46 +421,6 @@
     }
 }
 
-impl Tier {
-    /// Adds an entry to the tier's totals.
-    fn track(&mut self, entry: &Entry) {
-        self.start_by.insert((entry.start_by_ms, entry.id));
-        if !entry.is_resumption {
-            self.evictable_count += 1;
-            self.evictable_bytes += entry.bytes;
-        }
-    }
-
-    /// Removes an entry from the tier's totals.
-    fn untrack(&mut self, entry: &Entry) {
-        self.start_by.remove(&(entry.start_by_ms, entry.id));
-        if !entry.is_resumption {
-            self.evictable_count -= 1;
-            self.evictable_bytes -= entry.bytes;
-        }
-    }
-}
-
-impl Lane {
-    /// The oldest entry of the account furthest below its share, or of all accounts if `by_share`
-    /// is false.
-    fn head(&self, shares: &AccountShares, by_share: bool) -> Option<&Entry> {
-        let rank = |account: &Name| if by_share { shares.usage_per_share(account) } else { 0.0 };
-        let heads = self.flows.iter().filter_map(|(account, flow)| {
-            let (key, entry) = flow.entries.first_key_value()?;
-            Some(((rank(account), *key), entry))
-        });
-        heads.min_by(|a, b| a.0.0.total_cmp(&b.0.0).then(a.0.1.cmp(&b.0.1))).map(|(_, entry)| entry)
-    }
-}
-
-impl Flow {
-    /// Arrival time and id of the newest entry that may be evicted.
-    fn newest_evictable(&self) -> Option<(u64, u64)> {
-        self.entries.iter().rev().find(|(_, it)| !it.is_resumption).map(|(key, _)| *key)
-    }
-}
-
 /// Position of an entry within a tier: its account's usage divided by the account's share, then its
 /// arrival time and id. Lower goes first.
 type DispatchOrder = (f64, (u64, u64));
