End whole resumable streams without framing that nobody continues in order

Callers saw a whole stream end with a reset: its endpoint, about to stop, was gone after an answer without framing, and the endpoint that was asked for the rest had nothing to send and said so without framing, or none was left to ask. Cause: after a failed resumption every stream was aborted, also one of which only the end was unknown. Why it works: what is known of the end before the resumption is kept, and a stream that may be whole is not called broken, as other routes have it; callers who were promised a final chunk or a length still see an abort.

The reason logged for a stream that stalled and was not continued is endpoint_timeout now, not endpoint_broke.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -62,8 +62,8 @@
     Streaming(Box<Upstream>),
     /// The stream may be whole or not; whether its endpoint is still there is being checked.
     CheckingEndpoint(Box<Upstream>, EndpointCheck),
-    /// Another endpoint is asked to continue the stream.
-    Resuming(Resuming),
+    /// After a failure another endpoint is asked to continue the stream.
+    Resuming(Failure, Resuming),
     /// Fails at the next poll, so that the server first writes what was forwarded.
     Aborting,
     /// Ended or failed.
@@ -146,9 +146,10 @@
                         return ended;
                     }
                 }
-                State::Resuming(resuming) => {
+                State::Resuming(failure, resuming) => {
                     let (progress, opened) = ready!(resuming.as_mut().poll(cx));
-                    self.continue_with(progress, opened, cx);
+                    let failure = *failure;
+                    self.continue_with(failure, progress, opened, cx);
                     if matches!(self.state, State::Aborting) {
                         return Poll::Pending;
                     }
@@ -260,28 +261,25 @@
         self.state = State::CheckingEndpoint(upstream, Box::pin(check));
     }
 
-    /// Ends the stream if nothing speaks against it and the caller was not promised to be told whether
-    /// it is whole; else it is resumed or aborted.
+    /// Ends the stream if its endpoint is there and the caller was not promised to be told whether it is
+    /// whole; else it is resumed, if that is possible.
     fn endpoint_checked(
         &mut self,
         endpoint: EndpointState,
         cx: &mut Context<'_>,
     ) -> Option<Poll<Option<Result<Bytes, BodyAborted>>>> {
-        let shows_end = self.progress.caller_framing.is_none_or(Framing::shows_end);
-        let can_resume = self.events.can_resume();
+        let is_told_end = self.caller_is_told_end();
         let failure = match endpoint {
             EndpointState::Crashed => Failure::Broke,
-            EndpointState::Unknown if can_resume => Failure::EndUnknown,
-            EndpointState::Present | EndpointState::Unknown if shows_end => Failure::EndUnknown,
-            EndpointState::Present | EndpointState::Unknown => {
-                return Some(Poll::Ready(self.end(BodyEnd::Unknown)));
-            }
+            EndpointState::Present if is_told_end => Failure::EndUnknown,
+            EndpointState::Present => return Some(Poll::Ready(self.end(BodyEnd::Unknown))),
+            EndpointState::Unknown => Failure::EndUnknown,
         };
         self.handle_failure(failure, cx);
         matches!(self.state, State::Aborting).then_some(Poll::Pending)
     }
 
-    /// Resumes the stream at another endpoint after a failure, or aborts it.
+    /// Resumes the stream at another endpoint after a failure, or gives up.
     fn handle_failure(&mut self, failure: Failure, cx: &mut Context<'_>) {
         let state = std::mem::replace(&mut self.state, State::Transition);
         if let State::Streaming(upstream) | State::CheckingEndpoint(upstream, _) = state {
@@ -292,9 +290,9 @@
         let past_deadline = Instant::now() >= self.request.deadline;
         if self.events.can_resume() && !past_deadline {
             let last_id = self.events.begin_resume();
-            self.state = State::Resuming(self.resume(last_id, failure));
+            self.state = State::Resuming(failure, self.resume(last_id, failure));
         } else {
-            self.abort(failure, cx);
+            self.give_up(failure, cx);
         }
     }
 
@@ -314,37 +312,53 @@
         })
     }
 
-    /// Continues with the response of the endpoint that was asked to, or aborts the stream.
+    /// Continues with the response of the endpoint that was asked to after `failure`, or gives up.
     fn continue_with(
         &mut self,
+        failure: Failure,
         progress: RequestProgress,
         opened: Option<OpenedResponse>,
         cx: &mut Context<'_>,
     ) {
         self.progress = progress;
-        match opened {
-            Some(opened) if !self.has_same_content(&opened) => {
-                tracing::warn!(
-                    request = %self.request.id,
-                    endpoint = %opened.attempt.chosen.id,
-                    "cannot resume the stream: the response has another content type"
-                );
-                self.abort(Failure::BadAnswer, cx);
-            }
-            Some(opened) => {
-                self.resumed += 1;
-                self.first = Some(opened.first);
-                self.last_data = Instant::now();
-                self.state = State::streaming(opened.framing, opened.body, opened.attempt);
-                self.reset_timer();
-            }
-            None => self.abort(Failure::Broke, cx),
+        let Some(opened) = opened.filter(|it| self.can_continue_with(it)) else {
+            self.give_up(failure, cx);
+            return;
+        };
+        self.resumed += 1;
+        self.first = Some(opened.first);
+        self.last_data = Instant::now();
+        self.state = State::streaming(opened.framing, opened.body, opened.attempt);
+        self.reset_timer();
+    }
+
+    /// Ends a stream that nobody continues. One that may be whole is not aborted, unless its caller was
+    /// promised to be told.
+    fn give_up(&mut self, failure: Failure, cx: &mut Context<'_>) {
+        if failure == Failure::EndUnknown && !self.caller_is_told_end() {
+            self.end(BodyEnd::Unknown);
+        } else {
+            self.abort(failure, cx);
         }
     }
 
-    fn has_same_content(&self, opened: &OpenedResponse) -> bool {
-        (self.events.is_event_stream() && opened.is_event_stream)
-            || opened.head.headers.get(CONTENT_TYPE) == self.content_type.as_ref()
+    /// Whether the framing of the response to the caller says where it ends.
+    fn caller_is_told_end(&self) -> bool {
+        self.progress.caller_framing.is_none_or(Framing::shows_end)
+    }
+
+    /// Whether a response has the same kind of content as the stream.
+    fn can_continue_with(&self, opened: &OpenedResponse) -> bool {
+        let is_same = (self.events.is_event_stream() && opened.is_event_stream)
+            || opened.head.headers.get(CONTENT_TYPE) == self.content_type.as_ref();
+        if !is_same {
+            tracing::warn!(
+                request = %self.request.id,
+                endpoint = %opened.attempt.chosen.id,
+                "cannot resume the stream: the response has another content type"
+            );
+        }
+        is_same
     }
 
     /// Aborts the stream at the next poll. When a body fails, the server discards data that it has
