--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -88,7 +88,8 @@
     /// First bytes of the current endpoint's response, read when the response was opened.
     first: Option<Bytes>,
     events: EventForwarder,
-    /// Content type of the stream; a response that resumes it must have the same.
+    /// Content type of the stream. A response that resumes it must have the same, unless both are streams
+    /// of events.
     content_type: Option<HeaderValue>,
     /// When bytes last became forwardable.
     last_data: Instant,
