Give up a silent endpoint only once another one takes its request over

Cause: a time-out ended an attempt before it was known whether another one was possible. A stalled stream was given up after five times its gap goal whether or not the route allowed another attempt, the retry budget had a retry or another endpoint was there; a request without a head asked the budget when its attempt began, not when it was given up, so that requests that reached their time-outs together gave up their endpoints for the same few retries.

Evidence: `request is not sent again` in the failing tests: 116 times the budget, 21 times no other endpoint, 4 times the attempts were used up, all after `silent`.

Why this works: `silence::wait` and the relay take the endpoint and the retry first, in one step; without both the request waits for its own endpoint, looks again every 200 ms, and ends at the caller's deadline or with the connection. An overdue endpoint still counts as failing at the same moment.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -136,7 +136,7 @@
     }
 }
 
-/// Sends a request to the chosen endpoint and waits until `deadline` for the head of the response.
+/// Sends a request to the chosen endpoint and waits for the head of the response, without a time limit.
 ///
 /// # Errors
 /// How the attempt failed; the failure has been recorded.
@@ -145,10 +145,9 @@
     request: &Request,
     chosen: SelectedEndpoint,
     last_event_id: Option<&Bytes>,
-    deadline: Instant,
 ) -> Result<UpstreamResponse, Failure> {
     let mut attempt = Attempt::new(Arc::clone(gateway), chosen, request);
-    let result = exchange(gateway, request, &mut attempt, last_event_id, deadline).await;
+    let result = exchange(gateway, request, &mut attempt, last_event_id).await;
     match result {
         Ok((head, body)) => {
             let framing = upstream_response::framing(&head, &request.method);
@@ -191,12 +190,19 @@
     }
 }
 
+/// Records that an endpoint has been silent for longer than a response may take, while its request still
+/// waits for it.
+pub(crate) fn record_overdue(gateway: &Gateway, endpoint: &str) {
+    if let Some(health) = gateway.balancer().health_mut(endpoint) {
+        health.record_failure(clock::now_ms());
+    }
+}
+
 async fn exchange(
     gateway: &Arc<Gateway>,
     request: &Request,
     attempt: &mut Attempt,
     last_event_id: Option<&Bytes>,
-    deadline: Instant,
 ) -> Result<(response::Parts, Incoming), Failure> {
     let retryable = request.route.retry_safety.allows_resend();
     let pooled = gateway.pool.take(&attempt.chosen.id, attempt.chosen.address, retryable);
@@ -206,11 +212,9 @@
     };
     let mut message = upstream_request(gateway, request, &attempt.chosen, last_event_id);
     let response = loop {
-        let sent = timeout_at(deadline, connection.sender.try_send_request(message)).await;
-        match sent {
-            Err(_) => return Err(Failure::Silent),
-            Ok(Ok(response)) => break response,
-            Ok(Err(mut error)) => match error.take_message() {
+        match connection.sender.try_send_request(message).await {
+            Ok(response) => break response,
+            Err(mut error) => match error.take_message() {
                 // Nothing was written because the endpoint had closed the pooled connection.
                 Some(unsent) if reused => {
                     message = unsent;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -26,8 +26,8 @@
     relay::Relay,
     request::Request,
     response::{Refusal, ResponseBody, end_with_connection},
-    retry::{OpenedResponse, attempt_deadline, next_response, open_response, record_failure},
-    suspects, upstream_response,
+    retry::{OpenedResponse, next_response, open_response, record_failure},
+    silence, suspects, upstream_response,
 };
 
 /// Counts a request as in progress until dropped.
@@ -197,8 +197,9 @@
             }
         };
         let UpstreamResponse { head, framing, body, mut attempt } = response;
-        let deadline = attempt_deadline(gateway, request, progress);
-        let bytes = match attempt::collect_body(body, deadline).await {
+        let reading = attempt::collect_body(body, request.deadline);
+        let read = silence::wait(gateway, request, progress, &attempt.chosen, reading).await;
+        let bytes = match read.unwrap_or(Err(Failure::Silent)) {
             Ok(bytes) => bytes,
             Err(failure) => {
                 record_failure(gateway, request, progress, &attempt, failure);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod retry;
 mod retry_budgets;
 mod settings;
+mod silence;
 pub mod socket;
 mod stop;
 mod store;
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -30,8 +30,10 @@
     pub(crate) send_history: SendHistory,
     /// Endpoints of failed attempts.
     pub(crate) tried: SmallVec<[Name; 2]>,
-    /// Endpoint chosen at admission; the first attempt takes it.
+    /// Endpoint for the next attempt, chosen at admission or in place of a silent one.
     pub(crate) preselected: Option<SelectedEndpoint>,
+    /// The next attempt has been granted and taken from the retry budget.
+    pub(crate) holds_retry: bool,
     /// The latest choice of an endpoint.
     pub(crate) last_choice: Option<SelectedEndpoint>,
     /// `None` if the request did not go through admission control.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,7 +30,8 @@
     liveness::{self, EndpointState},
     progress::RequestProgress,
     request::Request,
-    retry::{OpenedResponse, open_response},
+    retry::{self, OpenedResponse, open_response},
+    silence::REPLACE_INTERVAL,
     suspects,
 };
 
@@ -94,6 +95,8 @@
     content_type: Option<HeaderValue>,
     /// When bytes last became forwardable.
     last_data: Instant,
+    /// [`Relay::last_data`] of the latest stall that was recorded against the endpoint.
+    overdue_since: Option<Instant>,
     timer: Pin<Box<Sleep>>,
     /// How often the stream was resumed.
     resumed: u32,
@@ -122,11 +125,12 @@
             events: EventForwarder::new(can_resume, opened.is_event_stream),
             content_type: opened.head.headers.get(CONTENT_TYPE).cloned(),
             last_data: Instant::now(),
+            overdue_since: None,
             timer: Box::pin(sleep_until(request.deadline)),
             resumed: 0,
             request,
         };
-        relay.reset_timer();
+        relay.reset_timer(relay.last_data);
         relay
     }
 
@@ -204,37 +208,59 @@
         }
     }
 
-    /// Ready if the stream has stalled or the caller's deadline has passed.
+    /// Ready if the caller's deadline has passed, or the stream has stalled and another endpoint can
+    /// continue it.
     fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
         while self.timer.as_mut().poll(cx).is_ready() {
             let now = Instant::now();
-            if now >= self.request.deadline || now >= self.last_data + self.stall_timeout() {
+            let is_over = now >= self.request.deadline;
+            if is_over || (self.has_stalled(now) && self.try_replace()) {
                 return Poll::Ready(Step::Failed(Failure::Silent));
             }
-            self.reset_timer();
+            self.reset_timer(now);
         }
         Poll::Pending
     }
 
-    /// Sets the timer to the earliest time at which the stream may be stalled or past its deadline.
-    fn reset_timer(&mut self) {
-        let stalled_at = self.last_data + self.stall_timeout();
-        let at = if self.events.can_resume() {
-            stalled_at.min(self.request.deadline)
-        } else {
-            self.request.deadline
+    /// Sets the timer to the next time at which the stream may have stalled, can perhaps be continued
+    /// elsewhere, or is past its deadline.
+    fn reset_timer(&mut self, now: Instant) {
+        let deadline = self.request.deadline;
+        let at = match self.stall_timeout() {
+            None => deadline,
+            Some(_) if self.has_stalled(now) => deadline.min(now + REPLACE_INTERVAL),
+            Some(timeout) => deadline.min(self.last_data + timeout),
         };
         self.timer.as_mut().reset(at);
     }
 
-    /// Time without an event after which the stream counts as stalled. A stream that cannot be resumed
-    /// ends at the caller's deadline instead.
-    fn stall_timeout(&self) -> Duration {
+    fn has_stalled(&self, now: Instant) -> bool {
+        self.stall_timeout().is_some_and(|it| now >= self.last_data + it)
+    }
+
+    /// Secures another endpoint for a stream that has stalled. Returns false if it has to wait for its
+    /// own.
+    fn try_replace(&mut self) -> bool {
+        let State::Streaming(upstream) = &self.state else { return false };
+        let endpoint = &upstream.attempt.chosen;
+        if retry::try_replace(&self.gateway, &self.request, &mut self.progress, endpoint) {
+            return true;
+        }
+        if self.overdue_since != Some(self.last_data) {
+            self.overdue_since = Some(self.last_data);
+            attempt::record_overdue(&self.gateway, &endpoint.id);
+        }
+        false
+    }
+
+    /// Time without an event after which the stream counts as stalled; `None` for a stream that cannot
+    /// be resumed.
+    fn stall_timeout(&self) -> Option<Duration> {
         if !self.events.can_resume() {
-            return Duration::from_secs(3_600);
+            return None;
         }
         let gap_goal = Duration::from_millis(self.request.route.event_gap_goal_ms.unwrap_or(0));
-        (gap_goal * STALL_TIMEOUT_GAP_FACTOR).max(MIN_STALL_TIMEOUT)
+        Some((gap_goal * STALL_TIMEOUT_GAP_FACTOR).max(MIN_STALL_TIMEOUT))
     }
 
     /// Ends a stream whose connection brought no error; returns the bytes that were held back.
@@ -332,7 +358,7 @@
         self.first = Some(opened.first);
         self.last_data = Instant::now();
         self.state = State::streaming(opened.framing, opened.body, opened.attempt);
-        self.reset_timer();
+        self.reset_timer(self.last_data);
     }
 
     /// Ends a stream that nobody continues. One that may be whole is not aborted, unless its caller was
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -6,12 +6,12 @@
 use http_body_util::BodyExt;
 use hyper::{body::Incoming, http::response};
 use tanagergauge_core::{
-    Reason,
+    Name, Reason,
     body_end::Framing,
     selection::{EndpointQuery, NoEndpoint, SelectedEndpoint},
-    send_history::{Failure, NextStep, has_time_to_send},
+    send_history::{Failure, NextStep, SendHistory, has_time_to_send},
 };
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::{
     attempt::{self, Attempt, UpstreamResponse},
@@ -21,6 +21,7 @@
     progress::{RequestProgress, SHORT_RETRY_MS},
     request::{Request, uniform_hash},
     response::Refusal,
+    silence::{self, Silent},
     suspects, upstream_response,
 };
 
@@ -76,8 +77,9 @@
             record_failure(gateway, request, progress, &attempt, Failure::Failed);
             continue;
         }
-        let deadline = attempt_deadline(gateway, request, progress);
-        let first = match timeout_at(deadline, first_bytes(&mut body)).await {
+        let reading = first_bytes(&mut body);
+        let first = match silence::wait(gateway, request, progress, &attempt.chosen, reading).await
+        {
             Ok(Some(first)) if !is_cut_before_events(&head, framing, &first) => first,
             // Nothing may be left to send after the event at which the stream goes on.
             Ok(Some(_)) if last_event_id.is_some() => {
@@ -88,7 +90,7 @@
                 record_failure(gateway, request, progress, &attempt, Failure::Broke);
                 continue;
             }
-            Err(_) => {
+            Err(Silent) => {
                 record_failure(gateway, request, progress, &attempt, Failure::Silent);
                 continue;
             }
@@ -160,21 +162,28 @@
             None => choose_endpoint(gateway, request, progress)?,
         };
         progress.last_choice = Some(chosen.clone());
-        let deadline = attempt_deadline(gateway, request, progress);
-        let endpoint = chosen.id.clone();
-        let sent = attempt::send(gateway, request, chosen, last_event_id, deadline).await;
-        progress.set_framing(sent.as_ref().ok().map(|it| it.framing));
+        let sending = attempt::send(gateway, request, chosen.clone(), last_event_id);
+        let sent = silence::wait(gateway, request, progress, &chosen, sending).await;
+        progress
+            .set_framing(sent.as_ref().ok().and_then(|it| it.as_ref().ok()).map(|it| it.framing));
         match sent {
-            Ok(response) => return Ok(response),
-            Err(failure) => progress.attempt_failed(request, &endpoint, failure),
+            Ok(Ok(response)) => return Ok(response),
+            Ok(Err(failure)) => progress.attempt_failed(request, &chosen.id, failure),
+            Err(Silent) => {
+                attempt::record_failure(gateway, request, &chosen, Failure::Silent);
+                progress.attempt_failed(request, &chosen.id, Failure::Silent);
+            }
         }
     }
 }
 
 /// Whether another attempt is allowed; takes a retry from the budget if it needs one.
-fn may_attempt(gateway: &Gateway, request: &Request, progress: &RequestProgress) -> bool {
+fn may_attempt(gateway: &Gateway, request: &Request, progress: &mut RequestProgress) -> bool {
     let Some(failure) = progress.last_failure else { return true };
-    match try_retry(gateway, request, progress) {
+    if std::mem::take(&mut progress.holds_retry) {
+        return true;
+    }
+    match try_retry(gateway, request, progress.send_history) {
         RetryDecision::Allowed { uses_retry_budget } => {
             if uses_retry_budget {
                 meters::retry(failure);
@@ -188,13 +197,39 @@
     }
 }
 
+/// Secures an endpoint and a retry for a request whose endpoint is silent, which its next attempt takes.
+/// Returns false if no other endpoint can take the request over now.
+pub(crate) fn try_replace(
+    gateway: &Gateway,
+    request: &Request,
+    progress: &mut RequestProgress,
+    silent: &SelectedEndpoint,
+) -> bool {
+    if !has_time_to_send(request.time_left().as_secs_f64() * 1000.0, request.route.goal_ms) {
+        return false;
+    }
+    let mut tried = progress.tried.clone();
+    tried.push(silent.id.clone());
+    let Ok(chosen) = select_endpoint(gateway, request, &tried) else { return false };
+    let mut history = progress.send_history;
+    history.record_failure(Failure::Silent);
+    let decision = try_retry(gateway, request, history);
+    let is_allowed = matches!(decision, RetryDecision::Allowed { .. });
+    if is_allowed {
+        meters::retry(Failure::Silent);
+        progress.preselected = Some(chosen);
+        progress.holds_retry = true;
+    }
+    is_allowed
+}
+
 /// Decides whether a request is sent again after a failure; takes a retry from the budget if it needs
 /// one.
-fn try_retry(gateway: &Gateway, request: &Request, progress: &RequestProgress) -> RetryDecision {
+fn try_retry(gateway: &Gateway, request: &Request, history: SendHistory) -> RetryDecision {
     if suspects::is_quarantined(gateway, request) {
         return RetryDecision::Quarantined;
     }
-    match progress.send_history.next_step(request.route.retry_safety, request.route.attempts) {
+    match history.next_step(request.route.retry_safety, request.route.attempts) {
         NextStep::NotRun | NextStep::Unknown => RetryDecision::AttemptsUsedUp,
         NextStep::Resend { uses_retry_budget } => {
             let now_ms = clock::now_ms();
@@ -216,16 +251,7 @@
     progress: &mut RequestProgress,
 ) -> Result<SelectedEndpoint, Refusal> {
     progress.list_age_ms = gateway.endpoints_age_ms().unwrap_or(u64::MAX);
-    let query = EndpointQuery {
-        service: &request.service,
-        parts: &request.parts,
-        tried: &progress.tried,
-        latency_sensitive: request.latency_sensitive,
-        may_probe: request.route.retry_safety.allows_resend(),
-        random: uniform_hash(&request.id),
-        unix_ms: clock::unix_ms(),
-    };
-    let chosen = gateway.balancer().choose(&query, clock::now_ms());
+    let chosen = select_endpoint(gateway, request, &progress.tried);
     if let (Err(error), Some(failure)) = (&chosen, progress.last_failure) {
         tracing::info!(request = %request.id, %failure, decision = %error, "request is not sent again");
     }
@@ -240,20 +266,44 @@
     })
 }
 
+/// Selects an endpoint other than those `tried`.
+fn select_endpoint(
+    gateway: &Gateway,
+    request: &Request,
+    tried: &[Name],
+) -> Result<SelectedEndpoint, NoEndpoint> {
+    let query = EndpointQuery {
+        service: &request.service,
+        parts: &request.parts,
+        tried,
+        latency_sensitive: request.latency_sensitive,
+        may_probe: request.route.retry_safety.allows_resend(),
+        random: uniform_hash(&request.id),
+        unix_ms: clock::unix_ms(),
+    };
+    gateway.balancer().choose(&query, clock::now_ms())
+}
+
+/// Whether the route allows another attempt if the current one failed.
+fn has_attempt_left(request: &Request, progress: &RequestProgress) -> bool {
+    let attempts_left = progress.send_history.may_have_run + 1 < request.route.attempts;
+    request.route.retry_safety.allows_resend() && attempts_left
+}
+
 /// Whether the request could be retried if the current attempt failed.
 fn has_another_attempt(gateway: &Gateway, request: &Request, progress: &RequestProgress) -> bool {
-    let attempts_left = progress.send_history.may_have_run + 1 < request.route.attempts;
-    let allowed = request.route.retry_safety.allows_resend() && attempts_left;
-    allowed && gateway.budgets().is_available(&request.service, clock::now_ms())
+    has_attempt_left(request, progress)
+        && gateway.budgets().is_available(&request.service, clock::now_ms())
 }
 
-/// When to give up the current attempt: the caller's deadline unless the request could be retried.
+/// When the current attempt is overdue, so that another endpoint may take the request over: the
+/// caller's deadline unless the route allows another attempt.
 pub(crate) fn attempt_deadline(
     gateway: &Gateway,
     request: &Request,
     progress: &RequestProgress,
 ) -> Instant {
-    if !has_another_attempt(gateway, request, progress) {
+    if !has_attempt_left(request, progress) {
         return request.deadline;
     }
     let goal = Duration::from_millis(request.route.goal_ms).mul_f64(ATTEMPT_TIMEOUT_GOAL_FACTOR);
