Keep a silent endpoint connected until another one has taken its stream over

The silent endpoint was disconnected before it was known that another one takes the stream, so that silence ended the answer.

--- a/crates/core/src/event_forwarder.rs
+++ b/crates/core/src/event_forwarder.rs
@@ -75,11 +75,19 @@
         }
     }
 
-    /// Drops an incomplete event. Returns the id of the last complete event, if one had an id.
-    pub fn begin_resume(&mut self) -> Option<Bytes> {
-        let Handling::Events(framer) = &mut self.handling else { return None };
-        framer.discard_partial();
-        framer.last_id().cloned()
+    /// Id of the last complete event, if one had an id. The stream can be continued after it.
+    pub fn last_event_id(&self) -> Option<&Bytes> {
+        match &self.handling {
+            Handling::Events(framer) => framer.last_id(),
+            Handling::Bytes(_) => None,
+        }
+    }
+
+    /// Drops an incomplete event, whose bytes another endpoint sends again.
+    pub fn discard_partial(&mut self) {
+        if let Handling::Events(framer) = &mut self.handling {
+            framer.discard_partial();
+        }
     }
 
     /// Removes and returns the bytes that were held back, after the stream ended in order.
--- a/crates/core/src/send_history.rs
+++ b/crates/core/src/send_history.rs
@@ -89,6 +89,13 @@
         self.unreachable += u32::from(!failure.reached_endpoint());
     }
 
+    /// Takes back a failure that was counted: the request goes on where it was sent.
+    pub fn retract_failure(&mut self, failure: Failure) {
+        self.may_have_run -= u32::from(failure.may_have_run());
+        self.reached -= u32::from(failure.reached_endpoint());
+        self.unreachable -= u32::from(!failure.reached_endpoint());
+    }
+
     /// What to do after the last failure. `attempts` is the route's maximum number of endpoints
     /// that may have run the request; sends that certainly did not run are bounded only by
     /// [`MAX_SENDS`].
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod relay;
 mod request;
 mod response;
+mod resumption;
 mod retry;
 mod retry_budgets;
 mod settings;
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -85,6 +85,12 @@
         self.tried.push(endpoint.clone());
     }
 
+    /// Takes back a failed attempt: its endpoint has not been told to stop and may go on.
+    pub(crate) fn attempt_goes_on(&mut self, endpoint: &SelectedEndpoint, failure: Failure) {
+        self.send_history.retract_failure(failure);
+        self.last_choice = Some(endpoint.clone());
+    }
+
     /// Logs and counts how the request ended; `resumed` is how often its stream was resumed.
     pub(crate) fn report(
         &self,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,6 +30,7 @@
     liveness::{self, EndpointState},
     progress::RequestProgress,
     request::Request,
+    resumption::{Resuming, Resumption, SilentUpstream, Upstream},
     retry::{self, OpenedResponse, open_response},
     silence::REPLACE_INTERVAL,
     suspects,
@@ -53,9 +54,6 @@
 
 impl std::error::Error for BodyAborted {}
 
-/// Sends the request to another endpoint; the response is absent if that fails.
-type Resuming = Pin<Box<dyn Future<Output = (RequestProgress, Option<OpenedResponse>)> + Send>>;
-
 /// Checks whether the endpoint of a stream is still there.
 type EndpointCheck = Pin<Box<dyn Future<Output = EndpointState> + Send>>;
 
@@ -65,7 +63,7 @@
     /// The stream may be whole or not; whether its endpoint is still there is being checked.
     CheckingEndpoint(Box<Upstream>, EndpointCheck),
     /// After a failure another endpoint is asked to continue the stream.
-    Resuming(Failure, Resuming),
+    Resuming(Resumption),
     /// Fails at the next poll, so that the server first writes what was forwarded.
     Aborting,
     /// Ended or failed.
@@ -74,13 +72,6 @@
     Transition,
 }
 
-/// The response of one endpoint.
-struct Upstream {
-    framing: Framing,
-    body: Incoming,
-    attempt: Attempt,
-}
-
 /// A streamed response on its way to the caller.
 pub(crate) struct Relay {
     gateway: Arc<Gateway>,
@@ -152,10 +143,14 @@
                         return ended;
                     }
                 }
-                State::Resuming(failure, resuming) => {
-                    let (progress, opened) = ready!(resuming.as_mut().poll(cx));
-                    let failure = *failure;
-                    self.continue_with(failure, progress, opened, cx);
+                State::Resuming(resumption) => {
+                    let (progress, opened) = ready!(resumption.poll(cx));
+                    let (failure, silent) = (resumption.failure, resumption.silent.take());
+                    self.progress = progress;
+                    match opened.filter(|it| self.can_continue_with(it)) {
+                        Some(opened) => self.continue_with(opened),
+                        None => self.continue_without(failure, silent, cx),
+                    }
                     if matches!(self.state, State::Aborting) {
                         return Poll::Pending;
                     }
@@ -310,24 +305,30 @@
     /// Resumes the stream at another endpoint after a failure, or gives up.
     fn handle_failure(&mut self, failure: Failure, cx: &mut Context<'_>) {
         let state = std::mem::replace(&mut self.state, State::Transition);
-        if let State::Streaming(upstream) | State::CheckingEndpoint(upstream, _) = state {
+        let upstream = match state {
+            State::Streaming(upstream) | State::CheckingEndpoint(upstream, _) => Some(upstream),
+            _ => None,
+        };
+        if let Some(upstream) = &upstream {
             let chosen = &upstream.attempt.chosen;
             attempt::record_failure(&self.gateway, &self.request, chosen, failure);
             self.progress.attempt_failed(&self.request, &chosen.id, failure);
         }
         let past_deadline = Instant::now() >= self.request.deadline;
         if self.events.can_resume() && !past_deadline {
-            let last_id = self.events.begin_resume();
-            self.state = State::Resuming(failure, self.resume(last_id, failure));
+            let silent = upstream.filter(|_| failure == Failure::Silent).map(SilentUpstream::new);
+            let asking = self.resume(failure);
+            self.state = State::Resuming(Resumption { failure, asking, silent });
         } else {
             self.give_up(failure, cx);
         }
     }
 
-    /// Asks another endpoint to continue the stream after the event `last_id`.
-    fn resume(&mut self, last_id: Option<Bytes>, failure: Failure) -> Resuming {
+    /// Asks another endpoint to continue the stream after its last complete event.
+    fn resume(&mut self, failure: Failure) -> Resuming {
         let (gateway, request) = (Arc::clone(&self.gateway), Arc::clone(&self.request));
         let mut progress = std::mem::take(&mut self.progress);
+        let last_id = self.events.last_event_id().cloned();
         tracing::info!(
             request = %request.id,
             events = self.events.event_count(),
@@ -341,24 +342,39 @@
         })
     }
 
-    /// Continues with the response of the endpoint that was asked to after `failure`, or gives up.
-    fn continue_with(
+    /// Continues with the response of the endpoint that was asked to.
+    fn continue_with(&mut self, opened: OpenedResponse) {
+        self.resumed += 1;
+        self.events.discard_partial();
+        self.first = Some(opened.first);
+        self.last_data = Instant::now();
+        self.state = State::streaming(opened.framing, opened.body, opened.attempt);
+        self.reset_timer(self.last_data);
+    }
+
+    /// Waits for the endpoint that fell silent, if it is still connected, since nobody else continues
+    /// the stream; gives up without it.
+    fn continue_without(
         &mut self,
         failure: Failure,
-        progress: RequestProgress,
-        opened: Option<OpenedResponse>,
+        silent: Option<SilentUpstream>,
         cx: &mut Context<'_>,
     ) {
-        self.progress = progress;
-        let Some(opened) = opened.filter(|it| self.can_continue_with(it)) else {
+        let Some(SilentUpstream { upstream, .. }) = silent else {
+            self.events.discard_partial();
             self.give_up(failure, cx);
             return;
         };
-        self.resumed += 1;
-        self.first = Some(opened.first);
-        self.last_data = Instant::now();
-        self.state = State::streaming(opened.framing, opened.body, opened.attempt);
-        self.reset_timer(self.last_data);
+        tracing::info!(
+            request = %self.request.id,
+            endpoint = %upstream.attempt.chosen.id,
+            "no endpoint continues the stream; waiting for its own"
+        );
+        self.progress.attempt_goes_on(&upstream.attempt.chosen, failure);
+        self.progress.upstream_framing = Some(upstream.framing);
+        self.progress.is_event_stream = Some(self.events.is_event_stream());
+        self.state = State::Streaming(upstream);
+        self.reset_timer(Instant::now());
     }
 
     /// Ends a stream that nobody continues. One that may be whole is not aborted, unless its caller was
