Split the gossip of the core by concern

Messages, pulls with their responses, and the choice of peers had grown to 616 lines in one file with the state. Only moved; the messages' formats and the paths of public items stay.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip/mod.rs
@@ -7,17 +7,21 @@
 //! One instance of each zone, its reporter, publishes aggregate readings for the other zones and
 //! declares silent instances gone.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+mod exchange;
+mod message;
+mod targets;
 
-use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+pub use message::{KnownVersion, Pull, PullResponse, Push, Update};
 
 use crate::{
     Member, MemberState, Name,
     fact::{Epoch, Fact},
-    fact_set::{BucketHashes, FactSet},
+    fact_set::FactSet,
     publisher::Publisher,
     reading::{Reading, Subject, Tag, amount_of, level_of},
-    reading_table::{ReadingDelta, ReadingTable, TableVersion},
+    reading_table::ReadingTable,
     rendezvous,
 };
 
@@ -38,16 +42,8 @@
 /// Rounds after its start before an instance may become the reporter of its zone. Until then it may
 /// not know its peers yet.
 const REPORT_AFTER_ROUNDS: u64 = 10;
-/// Rounds for which other zones are told that an instance is no longer the reporter.
-const RETRACTION_ROUNDS: u32 = 60;
 /// Time without updates after which a report of another zone is ignored, in milliseconds.
 pub const REPORT_STALE_MS: u64 = 60_000;
-/// Rounds between two pulls from another zone.
-const CROSS_ZONE_PULL_ROUNDS: u64 = 2;
-/// Rounds between two pulls from a seed address.
-const SEED_ROUNDS: u64 = 30;
-/// Rounds between two pulls from a suspected peer.
-const SUSPECT_ROUNDS: u64 = 8;
 /// Silence after which the reporter of the zone declares an instance gone, in milliseconds.
 pub const GONE_AFTER_MS: u64 = 120_000;
 /// How long the record of a gone instance is retained, in milliseconds.
@@ -91,61 +87,6 @@
     pub updated_ms: u64,
 }
 
-/// Request for the facts and readings that the sender lacks.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Pull {
-    /// Name of the sender.
-    pub name: Name,
-    /// Membership record of the sender.
-    pub member: Member,
-    /// Bucket hashes of the sender's facts.
-    pub hashes: BucketHashes,
-    /// Versions of the reading tables that the sender has.
-    #[serde(rename = "reaches")]
-    pub known_versions: Vec<KnownVersion>,
-    /// Version of the sheet in force at the sender.
-    pub sheet_version: Option<u64>,
-}
-
-/// Version of an instance's readings that the sender of a pull has.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KnownVersion {
-    /// Tag of the instance's name.
-    pub instance: Tag,
-    /// The version.
-    #[serde(rename = "stamp")]
-    pub version: TableVersion,
-}
-
-/// Response to a [`Pull`]: what its sender lacks.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PullResponse {
-    /// Facts in the buckets that differ, at most [`MAX_MESSAGE_FACTS`].
-    pub facts: Vec<Fact>,
-    /// Changes of readings, by instance.
-    pub updates: Vec<Update>,
-    /// Whether facts or readings were left out because of the limits.
-    pub is_partial: bool,
-    /// Version of the sheet in force at the responding instance.
-    pub sheet_version: Option<u64>,
-}
-
-/// Changes of one instance's readings.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Update {
-    /// Tag of the instance's name.
-    pub instance: Tag,
-    /// The changes.
-    pub delta: ReadingDelta,
-}
-
-/// Urgent facts, sent without waiting for the next pull; at most [`MAX_MESSAGE_FACTS`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Push {
-    /// The facts.
-    pub facts: Vec<Fact>,
-}
-
 /// The current time, on both clocks.
 #[derive(Clone, Copy, Debug)]
 pub struct Now {
@@ -267,118 +208,6 @@
         self.table.publish(&changes);
     }
 
-    /// Addresses to pull from in this round, chosen with random numbers from `random`.
-    pub fn targets(
-        &self,
-        seeds: &[SocketAddr],
-        now: Now,
-        mut random: impl FnMut() -> u64,
-    ) -> Vec<SocketAddr> {
-        let mut targets = Vec::new();
-        let (names, live): (Vec<&Name>, Vec<&Member>) = self.live_peers(now).unzip();
-        targets.extend(choose(&live, random()).map(|it| it.control_address));
-        if self.rounds.is_multiple_of(SUSPECT_ROUNDS) {
-            let suspects: Vec<&Member> = self.suspects(now).map(|(_, it)| it).collect();
-            targets.extend(choose(&suspects, random()).map(|it| it.control_address));
-        }
-        targets.extend(self.cross_zone_targets(&names, &mut random));
-        let is_alone = targets.is_empty() && live.is_empty();
-        if is_alone || self.rounds.is_multiple_of(SEED_ROUNDS) {
-            let seeds: Vec<&SocketAddr> =
-                seeds.iter().filter(|it| **it != self.member.control_address).collect();
-            targets.extend(choose(&seeds, random()).copied());
-        }
-        targets
-    }
-
-    /// Addresses to push urgent facts to: [`PUSH_FANOUT`] peers of the zone and, if
-    /// `to_other_zones`, one instance of each other zone. Only the instance that observed the facts
-    /// pushes them to other zones.
-    pub fn push_targets(
-        &self,
-        to_other_zones: bool,
-        now: Now,
-        mut random: impl FnMut() -> u64,
-    ) -> Vec<SocketAddr> {
-        let mut live: Vec<&Member> = self.live_peers(now).map(|(_, it)| it).collect();
-        let mut targets = Vec::new();
-        for _ in 0..PUSH_FANOUT {
-            if live.is_empty() {
-                break;
-            }
-            let chosen = (random() % live.len() as u64) as usize;
-            targets.push(live.swap_remove(chosen).control_address);
-        }
-        if to_other_zones {
-            let zones = self.other_zones();
-            targets.extend(zones.iter().filter_map(|zone| self.random_instance(zone, random())));
-        }
-        targets
-    }
-
-    /// The request to send to the peer at a control address.
-    ///
-    /// It lists only tables that are not empty; those of other zones belong to their reporters. An
-    /// instance of another zone is not asked about this zone.
-    pub fn pull(&self, peer: SocketAddr) -> Pull {
-        let own_zone = &self.member.availability_zone;
-        let mut members = self.facts.members().values();
-        let is_in_other_zone =
-            members.any(|it| it.control_address == peer && it.availability_zone != *own_zone);
-        let is_listed = |it: &PeerReadings| {
-            it.table.version() > TableVersion::default()
-                && !(is_in_other_zone && it.availability_zone == *own_zone)
-        };
-        let own = KnownVersion { instance: Tag::of(&self.name), version: self.table.version() };
-        let copies = self.peers.iter().filter(|(_, it)| is_listed(it)).map(|(instance, it)| {
-            KnownVersion { instance: *instance, version: it.table.version() }
-        });
-        Pull {
-            name: self.name.clone(),
-            member: self.member.clone(),
-            hashes: *self.facts.hashes(),
-            known_versions: copies.chain([own]).collect(),
-            sheet_version: self.sheet_version,
-        }
-    }
-
-    /// Merges the sender's record, and responds with what it lacks.
-    pub fn respond(&mut self, pull: &Pull, now: Now, random: u64) -> PullResponse {
-        self.merge_fact(
-            &Fact::Member { name: pull.name.clone(), member: pull.member.clone() },
-            now,
-        );
-        let mut facts = self.facts.differing(&pull.hashes);
-        let mut is_partial = facts.len() > MAX_MESSAGE_FACTS;
-        if is_partial {
-            // Starts at a random fact, so that repeated pulls get all of them in the end.
-            let start = (random % facts.len() as u64) as usize;
-            facts.rotate_left(start);
-            facts.truncate(MAX_MESSAGE_FACTS);
-        }
-        let updates = self.updates(pull, random, &mut is_partial);
-        PullResponse { facts, updates, is_partial, sheet_version: self.sheet_version }
-    }
-
-    /// Applies a response. Returns the facts that were new.
-    pub fn apply_response(&mut self, response: &PullResponse, now: Now) -> Vec<Fact> {
-        let new_facts = self.merge_facts(&response.facts, now);
-        let tag = Tag::of(&self.name);
-        for update in &response.updates {
-            if update.instance == tag {
-                self.table.advance_past(update.delta.version);
-            } else {
-                self.merge_update(update, now);
-            }
-        }
-        new_facts
-    }
-
-    /// Merges facts from a peer. Returns those that were new.
-    pub fn merge_facts(&mut self, facts: &[Fact], now: Now) -> Vec<Fact> {
-        facts.iter().filter(|it| self.merge_fact(it, now)).cloned().collect()
-    }
-
     /// Peers of this zone that are not gone and whose readings advanced recently.
     pub fn live_peers(&self, now: Now) -> impl Iterator<Item = (&Name, &Member)> {
         let limit_ms = self.suspect_after_ms();
@@ -439,47 +268,6 @@
         peer.availability_zone = member.availability_zone.clone();
     }
 
-    fn merge_update(&mut self, update: &Update, now: Now) {
-        if let Some(peer) = self.peers.get_mut(&update.instance)
-            && peer.table.merge(&update.delta)
-        {
-            peer.updated_ms = now.ms;
-        }
-    }
-
-    /// Readings for the sender of a pull. It gets all readings of its own zone, but only from an
-    /// instance of that zone, and the global readings of other zones.
-    fn updates(&self, pull: &Pull, random: u64, is_partial: &mut bool) -> Vec<Update> {
-        let zone = &pull.member.availability_zone;
-        let is_same_zone = *zone == self.member.availability_zone;
-        let known: BTreeMap<Tag, TableVersion> =
-            pull.known_versions.iter().map(|it| (it.instance, it.version)).collect();
-        let own = (Tag::of(&self.name), &self.table, &self.member.availability_zone);
-        let copies = self.peers.iter().map(|(tag, it)| (*tag, &it.table, &it.availability_zone));
-        let mut all: Vec<_> = copies.chain([own]).collect();
-        let start = (random % all.len() as u64) as usize;
-        all.rotate_left(start);
-        let mut updates = Vec::new();
-        let mut remaining = MAX_RESPONSE_READINGS;
-        for (instance, table, origin_zone) in all {
-            let is_from_sender_zone = origin_zone == zone;
-            if is_from_sender_zone && !is_same_zone || !is_from_sender_zone && !is_report(table) {
-                continue;
-            }
-            let version = known.get(&instance).copied().unwrap_or_default();
-            if remaining == 0 {
-                *is_partial |= version < table.version();
-                continue;
-            }
-            let is_wanted = |subject: Subject| is_from_sender_zone || subject.is_global();
-            let Some(delta) = table.delta(version, remaining, is_wanted) else { continue };
-            *is_partial |= delta.version < table.version();
-            remaining = remaining.saturating_sub(delta.changes.len());
-            updates.push(Update { instance, delta });
-        }
-        updates
-    }
-
     fn zone_peers(&self) -> impl Iterator<Item = (&Name, &Member)> {
         self.facts
             .zone_members(&self.member.availability_zone)
@@ -499,43 +287,6 @@
         rounds * ROUND_MS
     }
 
-    fn other_zones(&self) -> Vec<Name> {
-        let mut zones: Vec<Name> = self
-            .facts
-            .members()
-            .values()
-            .filter(|it| it.state != MemberState::Gone)
-            .map(|it| it.availability_zone.clone())
-            .filter(|it| *it != self.member.availability_zone)
-            .collect();
-        zones.sort();
-        zones.dedup();
-        zones
-    }
-
-    /// Instances to pull from in those other zones that this instance is responsible for.
-    fn cross_zone_targets(
-        &self,
-        peers: &[&Name],
-        random: &mut impl FnMut() -> u64,
-    ) -> Vec<SocketAddr> {
-        if !self.rounds.is_multiple_of(CROSS_ZONE_PULL_ROUNDS) {
-            return Vec::new();
-        }
-        let is_puller = |zone: &Name| {
-            let peers = peers.iter().map(|it| it.as_str());
-            rendezvous::rank(zone, &self.name, peers) < CROSS_ZONE_PULLERS
-        };
-        let linked = self.other_zones().into_iter().filter(is_puller);
-        linked.filter_map(|zone| self.random_instance(&zone, random())).collect()
-    }
-
-    /// Control address of a random instance of a zone.
-    fn random_instance(&self, zone: &Name, random: u64) -> Option<SocketAddr> {
-        let members: Vec<&Member> = self.facts.zone_members(zone).map(|(_, it)| it).collect();
-        choose(&members, random).map(|it| it.control_address)
-    }
-
     fn drop_gone_peers(&mut self) {
         let members = self.facts.members();
         self.peers.retain(|_, it| {
@@ -597,20 +348,3 @@
         }
     }
 }
-
-/// Whether an instance's readings are sent to other zones: it is the reporter of its zone, or
-/// recently ceased to be.
-fn is_report(table: &ReadingTable) -> bool {
-    match table.get(Subject::LiveInstances) {
-        None => false,
-        Some(0) => {
-            table.age_rounds(Subject::LiveInstances).is_some_and(|it| it < RETRACTION_ROUNDS)
-        }
-        Some(_) => true,
-    }
-}
-
-fn choose<'a, T>(candidates: &[&'a T], random: u64) -> Option<&'a T> {
-    let count = candidates.len() as u64;
-    candidates.get(random.checked_rem(count)? as usize).copied()
-}
