Ask an endpoint only once to continue a silent stream that it answered

Why this works: a response that doesn't continue the stream is a failed attempt (`bad_answer`) that may have run, so the attempts of the route bound it and its endpoint is not chosen again. The endpoint's health is not touched, as before.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -147,7 +147,7 @@
                     let (progress, opened) = ready!(resumption.poll(cx));
                     let (failure, silent) = (resumption.failure, resumption.silent.take());
                     self.progress = progress;
-                    match opened.filter(|it| self.can_continue_with(it)) {
+                    match opened.and_then(|it| self.accept(it)) {
                         Some(opened) => self.continue_with(opened),
                         None => self.continue_without(failure, silent, cx),
                     }
@@ -338,7 +338,7 @@
         );
         Box::pin(async move {
             let opened = open_response(&gateway, &request, &mut progress, last_id.as_ref()).await;
-            (progress, opened.ok().filter(|it| it.head.status.is_success()))
+            (progress, opened.ok())
         })
     }
 
@@ -392,8 +392,22 @@
         self.progress.caller_framing.is_none_or(Framing::shows_end)
     }
 
-    /// Whether a response has the same kind of content as the stream.
+    /// Returns a response if it continues the stream. An endpoint whose response does not may have run the
+    /// request, and is not asked again.
+    fn accept(&mut self, opened: OpenedResponse) -> Option<OpenedResponse> {
+        if self.can_continue_with(&opened) {
+            return Some(opened);
+        }
+        let endpoint = &opened.attempt.chosen.id;
+        self.progress.attempt_failed(&self.request, endpoint, Failure::BadAnswer);
+        None
+    }
+
+    /// Whether a response is a success and has the same kind of content as the stream.
     fn can_continue_with(&self, opened: &OpenedResponse) -> bool {
+        if !opened.head.status.is_success() {
+            return false;
+        }
         let is_same = (self.events.is_event_stream() && opened.is_event_stream)
             || opened.head.headers.get(CONTENT_TYPE) == self.content_type.as_ref();
         if !is_same {
