Use an endpoint again as soon as its silent streams go on

Cause: a stream that is overdue counts as a failure of its endpoint, three of them pause it, and after the pause it is on probation until a request succeeds, one at a time. Since silence ends no stream any more, the streams go on and keep the endpoint busy, so that no request may probe it until one of them has ended.

Why this works: the next event of an overdue stream is the success that ends the probation. An endpoint that stays silent is paused as before, and failures in the past still count in its failure rate.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -198,6 +198,13 @@
     }
 }
 
+/// Records that an endpoint that was overdue has gone on.
+pub(crate) fn record_recovered(gateway: &Gateway, endpoint: &str) {
+    if let Some(health) = gateway.balancer().health_mut(endpoint) {
+        health.record_success(clock::now_ms());
+    }
+}
+
 async fn exchange(
     gateway: &Arc<Gateway>,
     request: &Request,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -190,7 +190,7 @@
                     return Poll::Ready(Step::Failed(Failure::BadAnswer));
                 }
                 if !bytes.is_empty() {
-                    self.last_data = Instant::now();
+                    self.record_data();
                     return Poll::Ready(Step::Bytes(bytes));
                 }
                 // Bytes that complete no event do not keep a stalled stream alive.
@@ -248,6 +248,16 @@
         false
     }
 
+    /// Records that bytes became forwardable. An endpoint that goes on after a stall is sound.
+    fn record_data(&mut self) {
+        if self.overdue_since == Some(self.last_data)
+            && let State::Streaming(upstream) = &self.state
+        {
+            attempt::record_recovered(&self.gateway, &upstream.attempt.chosen.id);
+        }
+        self.last_data = Instant::now();
+    }
+
     /// Time without an event after which the stream counts as stalled; `None` for a stream that cannot
     /// be resumed.
     fn stall_timeout(&self) -> Option<Duration> {
