Disconnect a silent endpoint only after another one was sent its stream

Cause: the silent endpoint was told to stop 150 ms after another one was chosen, while opening a connection may take 300 ms. Until the request is sent to the other one, nobody else works on the stream.

Why this works: the 150 ms begin when a connection is there and the request is about to be written to it. An unreachable endpoint leaves the stream where it is, and the next one is tried.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,10 @@
     Name, body_end::Framing, endpoint::ServerLoad, selection::SelectedEndpoint,
     send_history::Failure,
 };
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
 
 use crate::{
     clock, connection::Connection, gateway::Gateway, liveness, request::Request, suspects,
@@ -137,6 +140,7 @@
 }
 
 /// Sends a request to the chosen endpoint and waits for the head of the response, without a time limit.
+/// Notifies `sent` when a connection is there and the request is about to be written.
 ///
 /// # Errors
 /// How the attempt failed; the failure has been recorded.
@@ -145,9 +149,10 @@
     request: &Request,
     chosen: SelectedEndpoint,
     last_event_id: Option<&Bytes>,
+    sent: &Notify,
 ) -> Result<UpstreamResponse, Failure> {
     let mut attempt = Attempt::new(Arc::clone(gateway), chosen, request);
-    let result = exchange(gateway, request, &mut attempt, last_event_id).await;
+    let result = exchange(gateway, request, &mut attempt, last_event_id, sent).await;
     match result {
         Ok((head, body)) => {
             let framing = upstream_response::framing(&head, &request.method);
@@ -210,6 +215,7 @@
     request: &Request,
     attempt: &mut Attempt,
     last_event_id: Option<&Bytes>,
+    sent: &Notify,
 ) -> Result<(response::Parts, Incoming), Failure> {
     let retryable = request.route.retry_safety.allows_resend();
     let pooled = gateway.pool.take(&attempt.chosen.id, attempt.chosen.address, retryable);
@@ -218,6 +224,7 @@
         None => (connect(gateway, attempt).await?, false),
     };
     let mut message = upstream_request(gateway, request, &attempt.chosen, last_event_id);
+    sent.notify_one();
     let response = loop {
         match connection.sender.try_send_request(message).await {
             Ok(response) => break response,
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -1,5 +1,7 @@
 //! Progress of one request through its attempts, and the log lines that report it.
 
+use std::sync::Arc;
+
 use smallvec::SmallVec;
 use tanagergauge_core::{
     Name, Outcome, Reason,
@@ -10,6 +12,8 @@
     send_history::{Failure, SendHistory},
 };
 
+use tokio::sync::Notify;
+
 use crate::{clock, meters, request::Request};
 
 /// Log target that deployed log filters select; it is independent of the module path.
@@ -34,6 +38,8 @@
     pub(crate) preselected: Option<SelectedEndpoint>,
     /// The next attempt has been granted and taken from the retry budget.
     pub(crate) holds_retry: bool,
+    /// Notified when the request is about to be written to an endpoint, which may run it from then on.
+    pub(crate) sent: Arc<Notify>,
     /// The latest choice of an endpoint.
     pub(crate) last_choice: Option<SelectedEndpoint>,
     /// `None` if the request did not go through admission control.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,7 +21,10 @@
     event_forwarder::EventForwarder,
     send_history::Failure,
 };
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::{
+    sync::Notify,
+    time::{Instant, Sleep, sleep_until},
+};
 
 use crate::{
     attempt::{self, Attempt},
@@ -326,7 +329,10 @@
         }
         let past_deadline = Instant::now() >= self.request.deadline;
         if self.events.can_resume() && !past_deadline {
-            let silent = upstream.filter(|_| failure == Failure::Silent).map(SilentUpstream::new);
+            let sent = Arc::new(Notify::new());
+            self.progress.sent = Arc::clone(&sent);
+            let silent = upstream.filter(|_| failure == Failure::Silent);
+            let silent = silent.map(|it| SilentUpstream::new(it, sent));
             let asking = self.resume(failure);
             self.state = State::Resuming(Resumption { failure, asking, silent });
         } else {
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -3,18 +3,19 @@
 use std::{
     future::Future,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
 
 use hyper::body::Incoming;
 use tanagergauge_core::{body_end::Framing, send_history::Failure};
-use tokio::time::{Sleep, sleep};
+use tokio::{sync::Notify, time::sleep};
 
 use crate::{attempt::Attempt, progress::RequestProgress, retry::OpenedResponse};
 
-/// How long a silent endpoint may go on with a stream that another one was asked to continue. Refusals
-/// come sooner; after it, two endpoints would work on the same stream.
+/// How long a silent endpoint may go on with a stream once another one was sent the request to continue
+/// it. Refusals come sooner; after it, two endpoints would work on the same stream.
 const MAX_OVERLAP: Duration = Duration::from_millis(150);
 
 /// Sends the request to another endpoint; the response is absent if that fails.
@@ -40,13 +41,17 @@
 /// An endpoint that fell silent, until it is told to stop.
 pub(crate) struct SilentUpstream {
     pub(crate) upstream: Box<Upstream>,
-    stop: Pin<Box<Sleep>>,
+    stop: Pin<Box<dyn Future<Output = ()> + Send>>,
 }
 
 impl SilentUpstream {
-    /// Keeps the endpoint connected for [`MAX_OVERLAP`].
-    pub(crate) fn new(upstream: Box<Upstream>) -> SilentUpstream {
-        SilentUpstream { upstream, stop: Box::pin(sleep(MAX_OVERLAP)) }
+    /// Keeps the endpoint connected until [`MAX_OVERLAP`] after the request was `sent` to another one.
+    pub(crate) fn new(upstream: Box<Upstream>, sent: Arc<Notify>) -> SilentUpstream {
+        let stop = async move {
+            sent.notified().await;
+            sleep(MAX_OVERLAP).await;
+        };
+        SilentUpstream { upstream, stop: Box::pin(stop) }
     }
 }
 
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -162,7 +162,8 @@
             None => choose_endpoint(gateway, request, progress)?,
         };
         progress.last_choice = Some(chosen.clone());
-        let sending = attempt::send(gateway, request, chosen.clone(), last_event_id);
+        let sent = Arc::clone(&progress.sent);
+        let sending = attempt::send(gateway, request, chosen.clone(), last_event_id, &sent);
         let sent = silence::wait(gateway, request, progress, &chosen, sending).await;
         progress
             .set_framing(sent.as_ref().ok().and_then(|it| it.as_ref().ok()).map(|it| it.framing));
