Keep a caller's connection for the idle time-out of the current configuration

Cause: a time-out of ours was fixed when the connection was opened, and ended it whatever the configuration said later.

Why this works: a wait for a request's head ends after the time-out with which the connection was opened or the current one, whichever is longer: never sooner than before, so that callers who know either version may use the connection.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -26,6 +26,7 @@
     exchange,
     follow::StoreFollower,
     gateway::Gateway,
+    idle::IdleTimer,
     meters, peers,
     response::ResponseBody,
     socket,
@@ -67,9 +68,7 @@
 }
 
 async fn serve_caller(gateway: &Arc<Gateway>, stream: TcpStream) {
-    let idle = gateway
-        .configuration()
-        .map_or(DEFAULT_IDLE_TIMEOUT, |it| Duration::from_millis(it.limits.idle_timeout_ms));
+    let idle = gateway.idle_timeout().unwrap_or(DEFAULT_IDLE_TIMEOUT);
     let response_state = Arc::new(ResponseState::default());
     let stream = CallerStream::new(stream, Arc::clone(&response_state));
     let service = service_fn(|incoming: hyper::Request<Incoming>| {
@@ -83,7 +82,8 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(idle).max_buf_size(MAX_HEAD_BYTES);
+    let timer = IdleTimer::new(Arc::clone(gateway));
+    builder.timer(timer).header_read_timeout(idle).max_buf_size(MAX_HEAD_BYTES);
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,8 +1,11 @@
 //! State shared by all tasks of an instance.
 
-use std::sync::{
-    Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicU64, AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
 use tanagergauge_core::{Name, balancer::Balancer, routing::Configuration, suspects::Suspects};
@@ -77,6 +80,12 @@
         lock(&self.configuration).clone()
     }
 
+    /// How long a caller's connection may stay idle; `None` before the first read.
+    pub(crate) fn idle_timeout(&self) -> Option<Duration> {
+        let ms = self.configuration()?.limits.idle_timeout_ms;
+        Some(Duration::from_millis(ms))
+    }
+
     /// Replaces the current configuration if `configuration` has a higher version. Returns whether
     /// it did.
     pub(crate) fn put_configuration(&self, configuration: Configuration) -> bool {
