Read a request before it is refused by its head

Cause: the refusal (404, 401) was sent once the head was read, without announcing a close. The body was left unread, so that hyper closed the connection, and the system reset it for the bytes that followed.

Why this works: the body is read and dropped, up to the size that is allowed and for at most a second, before the refusal is sent; the connection stays open for the next request.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -14,7 +14,7 @@
     admission_controller::{AdmissionRequest, Verdict},
     routing::{Configuration, Identity, Route},
 };
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     attempt::IDLE_FIRST_BYTE_MS,
@@ -28,6 +28,9 @@
     suspects,
 };
 
+/// Time-out for reading the body of a request that is refused by its head.
+const REFUSED_BODY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A request that was refused before it was complete and had a route.
 pub(crate) struct Refused {
     id: Name,
@@ -64,8 +67,10 @@
     let Some(configuration) = gateway.configuration() else {
         return Err(refuse(Refusal::not_run(Reason::NotReady).retry_after_ms(SHORT_RETRY_MS)));
     };
-    let (route, identity) =
-        authenticate(&configuration, &head).map_err(|it| refuse(Refusal::not_run(it)))?;
+    let (route, identity) = match authenticate(&configuration, &head) {
+        Ok(found) => found,
+        Err(reason) => return Err(refuse(refuse_by_head(body, &configuration, reason).await)),
+    };
     let allowed = Duration::from_millis(route.timeout_ms);
     let time_left = request::time_left(&head, names).unwrap_or(allowed).min(allowed);
     let deadline = arrived + time_left;
@@ -173,6 +178,16 @@
     }
 }
 
+/// Refuses a request once its body has been read. Unread, it would close the connection while the caller
+/// still sends, and the caller may not read the refusal then.
+async fn refuse_by_head(body: Incoming, configuration: &Configuration, reason: Reason) -> Refusal {
+    let mut body = Limited::new(body, configuration.limits.body_bytes);
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A caller that takes longer is refused all the same.
+    let _ = timeout(REFUSED_BODY_TIMEOUT, reading).await;
+    Refusal::not_run(reason)
+}
+
 async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Reason> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
