--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,7 +21,10 @@
     event_forwarder::EventForwarder,
     send_history::Failure,
 };
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::{
+    sync::Notify,
+    time::{Instant, Sleep, sleep_until},
+};
 
 use crate::{
     attempt::{self, Attempt},
@@ -147,7 +150,7 @@
                     let (progress, opened) = ready!(resumption.poll(cx));
                     let (failure, silent) = (resumption.failure, resumption.silent.take());
                     self.progress = progress;
-                    match opened.filter(|it| self.can_continue_with(it)) {
+                    match opened.and_then(|it| self.accept(it)) {
                         Some(opened) => self.continue_with(opened),
                         None => self.continue_without(failure, silent, cx),
                     }
@@ -190,7 +193,7 @@
                     return Poll::Ready(Step::Failed(Failure::BadAnswer));
                 }
                 if !bytes.is_empty() {
-                    self.last_data = Instant::now();
+                    self.record_data();
                     return Poll::Ready(Step::Bytes(bytes));
                 }
                 // Bytes that complete no event do not keep a stalled stream alive.
@@ -248,6 +251,16 @@
         false
     }
 
+    /// Records that bytes became forwardable. An endpoint that goes on after a stall is sound.
+    fn record_data(&mut self) {
+        if self.overdue_since == Some(self.last_data)
+            && let State::Streaming(upstream) = &self.state
+        {
+            attempt::record_recovered(&self.gateway, &upstream.attempt.chosen.id);
+        }
+        self.last_data = Instant::now();
+    }
+
     /// Time without an event after which the stream counts as stalled; `None` for a stream that cannot
     /// be resumed.
     fn stall_timeout(&self) -> Option<Duration> {
@@ -316,7 +329,10 @@
         }
         let past_deadline = Instant::now() >= self.request.deadline;
         if self.events.can_resume() && !past_deadline {
-            let silent = upstream.filter(|_| failure == Failure::Silent).map(SilentUpstream::new);
+            let sent = Arc::new(Notify::new());
+            self.progress.sent = Arc::clone(&sent);
+            let silent = upstream.filter(|_| failure == Failure::Silent);
+            let silent = silent.map(|it| SilentUpstream::new(it, sent));
             let asking = self.resume(failure);
             self.state = State::Resuming(Resumption { failure, asking, silent });
         } else {
@@ -338,7 +354,7 @@
         );
         Box::pin(async move {
             let opened = open_response(&gateway, &request, &mut progress, last_id.as_ref()).await;
-            (progress, opened.ok().filter(|it| it.head.status.is_success()))
+            (progress, opened.ok())
         })
     }
 
@@ -392,8 +408,22 @@
         self.progress.caller_framing.is_none_or(Framing::shows_end)
     }
 
-    /// Whether a response has the same kind of content as the stream.
+    /// Returns a response if it continues the stream. An endpoint whose response does not may have run the
+    /// request, and is not asked again.
+    fn accept(&mut self, opened: OpenedResponse) -> Option<OpenedResponse> {
+        if self.can_continue_with(&opened) {
+            return Some(opened);
+        }
+        let endpoint = &opened.attempt.chosen.id;
+        self.progress.attempt_failed(&self.request, endpoint, Failure::BadAnswer);
+        None
+    }
+
+    /// Whether a response is a success and has the same kind of content as the stream.
     fn can_continue_with(&self, opened: &OpenedResponse) -> bool {
+        if !opened.head.status.is_success() {
+            return false;
+        }
         let is_same = (self.events.is_event_stream() && opened.is_event_stream)
             || opened.head.headers.get(CONTENT_TYPE) == self.content_type.as_ref();
         if !is_same {
