--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -376,6 +376,7 @@
         let selected = SelectedEndpoint {
             id,
             address,
+            software_version: it.info.software_version.clone(),
             expected_ms,
             prefill_tokens,
             latency_sensitive,
--- a/crates/core/src/endpoint.rs
+++ b/crates/core/src/endpoint.rs
@@ -58,6 +58,8 @@
     pub leaving: bool,
     /// When its process started, in milliseconds of Unix time.
     pub incarnation: u64,
+    /// Version of its software; empty if it announces none.
+    pub software_version: Name,
 }
 
 /// Load that an endpoint returned with a response.
--- a/crates/core/src/selection.rs
+++ b/crates/core/src/selection.rs
@@ -43,6 +43,8 @@
     pub id: Name,
     /// Where it accepts requests.
     pub address: SocketAddr,
+    /// Version of its software when it was selected.
+    pub software_version: Name,
     /// Expected time to the first byte, in milliseconds.
     pub expected_ms: f64,
     /// Prompt tokens that it is expected to prefill, because it has not cached them.
--- a/crates/core/tests/replay/mod.rs
+++ b/crates/core/tests/replay/mod.rs
@@ -158,6 +158,7 @@
         slots: 128,
         leaving: false,
         incarnation: 1,
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -26,6 +26,7 @@
     response::{Refusal, ResponseBody},
     retry::choose_endpoint,
     suspects,
+    take_up::TakeUp,
 };
 
 /// A request that was refused before it was complete and had a route.
@@ -81,6 +82,7 @@
     } else {
         Default::default()
     };
+    let take_up = TakeUp::read(&head.headers, names, &route);
     let target = route.target(uniform_hash(&id)).cloned();
     let service = target.ok_or_else(|| refuse(Refusal::not_run(Reason::NoEndpoint)))?;
     let rank = configuration.rank(&route, account.as_ref());
@@ -105,6 +107,7 @@
         route,
         service,
         parts,
+        take_up,
         rank,
         latency_sensitive,
         version,
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -29,6 +29,8 @@
     pub request_limit: HeaderName,
     /// Id of the last stream event that was delivered, for resuming a stream.
     pub last_event_id: HeaderName,
+    /// Id of the attempt that brought the first event of a stream that the caller takes up again.
+    pub resumes: HeaderName,
     /// Headers that are removed from callers' requests.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod stop;
 mod store;
 mod suspects;
+mod take_up;
 mod upstream_response;
 mod view;
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -302,8 +302,10 @@
     fn resume(&mut self, last_id: Option<Bytes>, failure: Failure) -> Resuming {
         let (gateway, request) = (Arc::clone(&self.gateway), Arc::clone(&self.request));
         let mut progress = std::mem::take(&mut self.progress);
+        let last_choice = progress.last_choice.as_ref();
         tracing::info!(
             request = %request.id,
+            software_version = last_choice.map(|it| &*it.software_version),
             events = self.events.event_count(),
             reason = %failure,
             silent_ms = clock::as_ms(self.last_data.elapsed()),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -18,7 +18,7 @@
 };
 use tokio::time::Instant;
 
-use crate::header_names::HeaderNames;
+use crate::{header_names::HeaderNames, take_up::TakeUp};
 
 /// Request headers that apply to a single connection and are never forwarded.
 const HOP_BY_HOP: [&str; 9] = [
@@ -53,6 +53,8 @@
     /// Priority rank; 0 is the most urgent.
     pub(crate) rank: u8,
     pub(crate) parts: PromptParts,
+    /// Present if the caller takes up a stream that broke off.
+    pub(crate) take_up: Option<TakeUp>,
     /// An engine that is busy with prefill would exceed the route's `event_gap_goal_ms`.
     pub(crate) latency_sensitive: bool,
     /// Version of the configuration by which the request was admitted.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -100,6 +100,8 @@
     pub incarnation: u64,
     /// Number of the report since that start; 0 if unknown.
     pub report_sequence: u64,
+    /// Version of the endpoint's software; empty if the entry does not tell.
+    pub software_version: Name,
 }
 
 /// Why a record cannot be decoded.
--- a/crates/gateway/src/view/endpoint.rs
+++ b/crates/gateway/src/view/endpoint.rs
@@ -38,16 +38,17 @@
                 self.reports.record(key, report_number(&entry), value);
                 let info = endpoint_info(gateway, key, entry);
                 let (leaving, service) = (info.leaving, info.service.clone());
+                let software_version = info.software_version.clone();
                 if has_restarted(gateway, &info) {
                     suspects::record_endpoint_lost(gateway, key);
                 }
                 let changed = gateway.balancer().upsert(info);
                 match report {
                     ChangeReport::Each if changed => {
-                        tracing::info!(target: LOG_TARGET, endpoint = %key, %service, leaving, "endpoint changed");
+                        tracing::info!(target: LOG_TARGET, endpoint = %key, %service, leaving, %software_version, "endpoint changed");
                     }
                     ChangeReport::Batch => {
-                        tracing::debug!(target: LOG_TARGET, endpoint = %key, %service, leaving, "endpoint listed");
+                        tracing::debug!(target: LOG_TARGET, endpoint = %key, %service, leaving, %software_version, "endpoint listed");
                     }
                     ChangeReport::Each => {}
                 }
@@ -112,5 +113,6 @@
         slots: entry.slots,
         leaving: entry.leaving,
         incarnation: entry.incarnation,
+        software_version: entry.software_version,
     }
 }
