Core: at which version streams began, and which versions were in service

Callers take streams up at any instance, after any kill. Two modules for the decision whether such a stream may go on, without a caller of their own yet:

- `version_history`: whether one version alone can have begun a stream of which nobody knows, from the list, from peers, and from a record in the store that changes only with the listed versions.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod admission_controller;
 pub mod balancer;
+pub mod begun_streams;
 pub mod body_end;
 pub mod check;
 pub mod choice;
@@ -77,6 +78,7 @@
 pub mod suspects;
 pub mod ticket;
 pub mod update_log;
+pub mod version_history;
 pub mod windowed_retry_budget;
 
 pub use finding::{Finding, Findings, Severity};
--- a/crates/core/src/update_log.rs
+++ b/crates/core/src/update_log.rs
@@ -62,6 +62,15 @@
         let begin = LogPosition { log: self.id, offset };
         Some(Updates { begin, entries: self.entries.iter().skip(skipped) })
     }
+
+    /// Entries from a position on, as far as they are kept.
+    pub fn since_or_oldest(&self, position: LogPosition) -> Updates<impl Iterator<Item = &T>> {
+        let offset = if position.log == self.id { position.offset } else { 0 };
+        let offset = offset.max(self.dropped);
+        let skipped = usize::try_from(offset - self.dropped).unwrap_or(usize::MAX);
+        let begin = LogPosition { log: self.id, offset };
+        Updates { begin, entries: self.entries.iter().skip(skipped) }
+    }
 }
 
 /// How far two instances have read each other's update logs.
--- /dev/null
+++ b/crates/core/src/version_history.rs
@@ -0,0 +1,388 @@
+//! Which software versions of a service may have begun the streams that callers take up.
+//!
+//! Where nobody knows at which version a stream began, it may still be clear: one version alone was in
+//! service for as long as such a stream can be old. An instance that has just started cannot have seen
+//! that. It goes by what its peers saw, and by the record in the store, which is written whenever the
+//! listed versions of a service change.
+
+use std::collections::{BTreeMap, HashMap};
+
+use indexmap::IndexSet;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Name,
+    update_log::{LogPosition, UpdateLog},
+};
+
+/// How long a version counts after its last endpoint left the list, in milliseconds. It is longer
+/// than an endpoint takes to end and its callers to return.
+pub const VERSION_RETENTION_MS: u64 = 30_000;
+/// Largest age of the list of endpoints at which it tells which versions are in service, in
+/// milliseconds. A hub reads the list every 700 ms.
+const MAX_LIST_AGE_MS: u64 = 3_000;
+/// How much the Unix times of instances may differ, in milliseconds.
+pub const UNIX_TIME_MARGIN_MS: u64 = 5_000;
+/// Least gain, in milliseconds, for which a peer's completeness is taken over. What two instances make
+/// of the same message differs by its time of travel.
+const MIN_COMPLETENESS_GAIN_MS: u64 = 500;
+/// Maximum number of updates kept for peers. A peer that lacks earlier ones gets all services.
+const MAX_UPDATES: usize = 256;
+
+/// Whether a service had one software version in service recently.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SoleVersion {
+    /// This one alone.
+    One(Name),
+    /// At least two.
+    Several,
+    /// This instance has not known the service for long enough, or its list of endpoints is old.
+    Unknown,
+}
+
+/// The versions of a service, as they are sent to peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceVersions {
+    /// The service.
+    pub service: Name,
+    /// Versions that count.
+    pub versions: Vec<SeenVersion>,
+    /// Time until no other version can count than `versions` and later ones, in milliseconds.
+    pub complete_in_ms: u64,
+    /// Listed versions that the store's record names; `None` if there is no record.
+    pub stored: Option<Vec<Name>>,
+}
+
+/// A version that a peer saw.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenVersion {
+    /// The software version.
+    pub version: Name,
+    /// Time since one of its endpoints was listed, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Versions that a peer has not received.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionUpdates {
+    /// Services whose versions changed.
+    pub services: Vec<ServiceVersions>,
+    /// Position from which to ask for further updates.
+    pub next: LogPosition,
+}
+
+/// The store's record of the versions of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionRecord {
+    /// Versions that counted when the record was written.
+    pub versions: Vec<RecordedVersion>,
+    /// Unix time in milliseconds from which no other version can count than `versions` and later
+    /// ones; 0 if that was so when the record was written.
+    pub complete_at_unix_ms: u64,
+}
+
+/// A version in the store's record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordedVersion {
+    /// The software version.
+    pub version: Name,
+    /// Unix time in milliseconds at which its last endpoint left the list; `None` if it was listed
+    /// when the record was written.
+    pub until_unix_ms: Option<u64>,
+}
+
+/// The software versions that were in service recently, by service.
+#[derive(Clone, Debug)]
+pub struct VersionHistory {
+    services: HashMap<Name, ServiceHistory>,
+    /// From then on no version counts that this instance did not see itself; monotonic time.
+    complete_at_ms: u64,
+    /// Services whose versions changed, for peers.
+    updates: UpdateLog<Name>,
+    /// The store's records were read.
+    are_records_read: bool,
+    /// The list of endpoints was read.
+    is_list_read: bool,
+}
+
+#[derive(Clone, Debug)]
+struct ServiceHistory {
+    versions: BTreeMap<Name, SeenUntil>,
+    /// From then on no version counts that is not in `versions`; monotonic time.
+    complete_at_ms: u64,
+    /// Listed versions that the store's record names, sorted; `None` if there is no record.
+    stored: Option<Vec<Name>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SeenUntil {
+    /// An endpoint of the version is listed.
+    is_listed: bool,
+    /// The version counts before this time; monotonic.
+    counts_until_ms: u64,
+}
+
+impl VersionHistory {
+    /// Starts without versions. `log` identifies this process's updates and is not 0; `now_ms` is
+    /// monotonic, as in all methods.
+    pub fn new(log: u64, now_ms: u64) -> VersionHistory {
+        VersionHistory {
+            services: HashMap::new(),
+            complete_at_ms: now_ms + VERSION_RETENTION_MS,
+            updates: UpdateLog::new(log, MAX_UPDATES),
+            are_records_read: false,
+            is_list_read: false,
+        }
+    }
+
+    /// Whether one version alone of a service can have begun streams that callers may take up.
+    /// `list_age_ms` is the age of the list of endpoints; `None` before it was read.
+    pub fn sole_version(
+        &self,
+        service: &str,
+        list_age_ms: Option<u64>,
+        now_ms: u64,
+    ) -> SoleVersion {
+        let Some(history) = self.services.get(service) else { return SoleVersion::Unknown };
+        let mut counting = history.counting(now_ms);
+        let Some((version, _)) = counting.next() else { return SoleVersion::Unknown };
+        if counting.next().is_some() {
+            return SoleVersion::Several;
+        }
+        let is_current = list_age_ms.is_some_and(|it| it <= MAX_LIST_AGE_MS);
+        if is_current && history.complete_at_ms <= now_ms {
+            SoleVersion::One(version.clone())
+        } else {
+            SoleVersion::Unknown
+        }
+    }
+
+    /// Records that an endpoint of a version is listed.
+    pub fn record_listed(&mut self, service: &Name, version: &Name, now_ms: u64) {
+        let history = self.service_mut(service);
+        let seen = SeenUntil { is_listed: true, counts_until_ms: now_ms + VERSION_RETENTION_MS };
+        let before = history.versions.insert(version.clone(), seen);
+        if before.is_none_or(|it| !it.is_listed) {
+            self.updates.extend([service.clone()]);
+        }
+    }
+
+    /// Records all versions that are listed. Others are not listed any more.
+    pub fn observe<'a>(
+        &mut self,
+        listed: impl IntoIterator<Item = (&'a Name, &'a Name)>,
+        now_ms: u64,
+    ) {
+        self.is_list_read = true;
+        let listed: IndexSet<(&Name, &Name)> = listed.into_iter().collect();
+        for (service, version) in &listed {
+            self.record_listed(service, version, now_ms);
+        }
+        for (service, history) in &mut self.services {
+            for (version, seen) in &mut history.versions {
+                if seen.is_listed && !listed.contains(&(service, version)) {
+                    seen.is_listed = false;
+                    self.updates.extend([service.clone()]);
+                }
+            }
+            history.versions.retain(|_, it| it.counts(now_ms));
+        }
+        self.services.retain(|_, it| !it.versions.is_empty() || it.stored.is_some());
+    }
+
+    /// Records that no stream can have begun before this process started: it is among the first
+    /// instances of the deployment.
+    pub fn record_first_start(&mut self) {
+        self.complete_at_ms = 0;
+        for (service, history) in &mut self.services {
+            history.complete_at_ms = 0;
+            self.updates.extend([service.clone()]);
+        }
+    }
+
+    /// The services that a peer lacks that received those before `position`.
+    pub fn updates_since(&self, position: LogPosition, now_ms: u64) -> VersionUpdates {
+        let changed: IndexSet<&Name> = match self.updates.since(position) {
+            Some(updates) => updates.entries.collect(),
+            None => self.services.keys().collect(),
+        };
+        let services = changed.into_iter().filter_map(|it| self.service_versions(it, now_ms));
+        VersionUpdates { services: services.collect(), next: self.updates.end() }
+    }
+
+    fn service_versions(&self, service: &Name, now_ms: u64) -> Option<ServiceVersions> {
+        let history = self.services.get(service)?;
+        let seen = |(version, seen): (&Name, &SeenUntil)| SeenVersion {
+            version: version.clone(),
+            age_ms: seen.age_ms(now_ms),
+        };
+        Some(ServiceVersions {
+            service: service.clone(),
+            versions: history.counting(now_ms).map(seen).collect(),
+            complete_in_ms: history.complete_at_ms.saturating_sub(now_ms),
+            stored: history.stored.clone(),
+        })
+    }
+
+    /// Merges what a peer told. What was not known becomes an update for other peers.
+    pub fn merge(&mut self, services: Vec<ServiceVersions>, now_ms: u64) {
+        for it in services {
+            let history = self.service_mut(&it.service);
+            let mut is_news = false;
+            for SeenVersion { version, age_ms } in it.versions {
+                is_news |= history.add_version(version, age_ms, now_ms);
+            }
+            is_news |= history.merge_completeness(it.complete_in_ms, now_ms);
+            is_news |= history.merge_stored(it.stored);
+            if is_news {
+                self.updates.extend([it.service]);
+            }
+        }
+    }
+
+    /// Applies the store's records, which are all that it has. `unix_ms` is `now_ms` as Unix time.
+    /// Only the first ones tell of versions that this instance may not know; a version that they
+    /// still list counts as listed until now.
+    pub fn apply_records(
+        &mut self,
+        records: Vec<(Name, VersionRecord)>,
+        unix_ms: u64,
+        now_ms: u64,
+    ) {
+        let are_first = !std::mem::replace(&mut self.are_records_read, true);
+        for history in self.services.values_mut() {
+            history.stored = None;
+        }
+        for (service, record) in records {
+            let history = self.service_mut(&service);
+            history.stored = Some(record.listed());
+            if are_first {
+                history.apply_record(record, unix_ms, now_ms);
+                self.updates.extend([service]);
+            }
+        }
+    }
+
+    /// Records to write into the store: of the services whose listed versions differ from those in
+    /// the store. None before its records and the list of endpoints were read.
+    pub fn records_to_store(&self, unix_ms: u64, now_ms: u64) -> Vec<(Name, VersionRecord)> {
+        if !self.are_records_read || !self.is_list_read {
+            return Vec::new();
+        }
+        let differs = |it: &ServiceHistory| it.stored.as_ref() != Some(&it.listed());
+        let to_store = self.services.iter().filter(|(_, it)| differs(it));
+        to_store.map(|(service, it)| (service.clone(), it.record(unix_ms, now_ms))).collect()
+    }
+
+    /// Records that a record was written.
+    pub fn record_stored(&mut self, service: &Name, record: &VersionRecord) {
+        self.service_mut(service).stored = Some(record.listed());
+        self.updates.extend([service.clone()]);
+    }
+
+    fn service_mut(&mut self, service: &Name) -> &mut ServiceHistory {
+        let complete_at_ms = self.complete_at_ms;
+        self.services.entry(service.clone()).or_insert_with(|| ServiceHistory {
+            versions: BTreeMap::new(),
+            complete_at_ms,
+            stored: None,
+        })
+    }
+}
+
+impl ServiceHistory {
+    fn counting(&self, now_ms: u64) -> impl Iterator<Item = (&Name, &SeenUntil)> {
+        self.versions.iter().filter(move |(_, it)| it.counts(now_ms))
+    }
+
+    fn listed(&self) -> Vec<Name> {
+        let listed = self.versions.iter().filter(|(_, it)| it.is_listed);
+        listed.map(|(version, _)| version.clone()).collect()
+    }
+
+    /// Adds a version that was listed `age_ms` ago. Returns whether it did not count before.
+    fn add_version(&mut self, version: Name, age_ms: u64, now_ms: u64) -> bool {
+        if age_ms >= VERSION_RETENTION_MS {
+            return false;
+        }
+        let counts_until_ms = now_ms + VERSION_RETENTION_MS - age_ms;
+        let unseen = SeenUntil { is_listed: false, counts_until_ms: 0 };
+        let seen = self.versions.entry(version).or_insert(unseen);
+        let is_new = !seen.counts(now_ms);
+        seen.counts_until_ms = seen.counts_until_ms.max(counts_until_ms);
+        is_new
+    }
+
+    /// Returns whether it is complete earlier than was known.
+    fn merge_completeness(&mut self, complete_in_ms: u64, now_ms: u64) -> bool {
+        let known_in_ms = self.complete_at_ms.saturating_sub(now_ms);
+        let is_news = known_in_ms.saturating_sub(complete_in_ms) >= MIN_COMPLETENESS_GAIN_MS;
+        if is_news {
+            self.complete_at_ms = now_ms + complete_in_ms;
+        }
+        is_news
+    }
+
+    /// A peer may not have heard of the newest record, so that only what fits is taken over. Returns
+    /// whether it was.
+    fn merge_stored(&mut self, stored: Option<Vec<Name>>) -> bool {
+        let is_news = stored.is_some() && self.stored != stored && stored == Some(self.listed());
+        if is_news {
+            self.stored = stored;
+        }
+        is_news
+    }
+
+    fn apply_record(&mut self, record: VersionRecord, unix_ms: u64, now_ms: u64) {
+        for RecordedVersion { version, until_unix_ms } in record.versions {
+            let until_unix_ms = until_unix_ms.map_or(unix_ms, with_margin);
+            self.add_version(version, unix_ms.saturating_sub(until_unix_ms), now_ms);
+        }
+        let complete_in_ms = match record.complete_at_unix_ms {
+            0 => 0,
+            at_unix_ms => with_margin(at_unix_ms).saturating_sub(unix_ms),
+        };
+        self.merge_completeness(complete_in_ms, now_ms);
+    }
+
+    fn record(&self, unix_ms: u64, now_ms: u64) -> VersionRecord {
+        let recorded = |(version, seen): (&Name, &SeenUntil)| RecordedVersion {
+            version: version.clone(),
+            until_unix_ms: (!seen.is_listed).then(|| unix_ms.saturating_sub(seen.age_ms(now_ms))),
+        };
+        let complete_in_ms = self.complete_at_ms.saturating_sub(now_ms);
+        VersionRecord {
+            versions: self.counting(now_ms).map(recorded).collect(),
+            complete_at_unix_ms: if complete_in_ms == 0 { 0 } else { unix_ms + complete_in_ms },
+        }
+    }
+}
+
+/// The latest that another instance's Unix time may be in this one's.
+fn with_margin(unix_ms: u64) -> u64 {
+    unix_ms.saturating_add(UNIX_TIME_MARGIN_MS)
+}
+
+impl SeenUntil {
+    fn counts(&self, now_ms: u64) -> bool {
+        self.is_listed || now_ms < self.counts_until_ms
+    }
+
+    /// Time since an endpoint of the version was listed, as far as it is known.
+    fn age_ms(&self, now_ms: u64) -> u64 {
+        if self.is_listed {
+            return 0;
+        }
+        (now_ms + VERSION_RETENTION_MS).saturating_sub(self.counts_until_ms)
+    }
+}
+
+impl VersionRecord {
+    /// Versions that were listed when the record was written, sorted.
+    fn listed(&self) -> Vec<Name> {
+        let listed = self.versions.iter().filter(|it| it.until_unix_ms.is_none());
+        let mut listed: Vec<Name> = listed.map(|it| it.version.clone()).collect();
+        listed.sort_unstable();
+        listed
+    }
+}
