Tell peers at which software version streams began

A caller whose instance was killed takes its stream up at another one, which cannot know the version. Reports and responses between instances now carry, after what they carried before, the streams begun since the last one (8 bytes each) and the services whose versions changed, each once by cursors as for suspects. Members tell their hub, hubs each other, hubs their members. Instances of earlier releases pass over the addition, and what they send is read as telling none, so that a rolling update keeps the exchange of loads. Nothing records streams yet.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,10 @@
     atomic::{AtomicU64, AtomicUsize, Ordering},
 };
 
-use tanagergauge_core::{Name, balancer::Balancer, routing::Configuration, suspects::Suspects};
+use tanagergauge_core::{
+    Name, balancer::Balancer, begun_streams::BegunStreams, routing::Configuration,
+    suspects::Suspects, version_history::VersionHistory,
+};
 use tokio::sync::{Notify, watch};
 
 use crate::{
@@ -36,6 +39,8 @@
     budgets: Mutex<RetryBudgets>,
     admission: Mutex<AdmissionControllers>,
     suspects: Mutex<Suspects>,
+    begun_streams: Mutex<BegunStreams>,
+    version_history: Mutex<VersionHistory>,
     /// Notified when configuration or endpoints are updated.
     initialized: Notify,
     /// Latest era of the store that was read; 0 if it tells none.
@@ -65,6 +70,8 @@
             budgets: Mutex::new(budgets),
             admission: Mutex::default(),
             suspects: Mutex::new(suspects),
+            begun_streams: Mutex::new(BegunStreams::new(update_log)),
+            version_history: Mutex::new(VersionHistory::new(update_log, clock::now_ms())),
             initialized: Notify::new(),
             store_era: watch::Sender::new(0),
             endpoints_confirmed_ms: AtomicU64::new(0),
@@ -106,6 +113,16 @@
         lock(&self.suspects)
     }
 
+    /// Software versions at which streams began.
+    pub(crate) fn begun_streams(&self) -> MutexGuard<'_, BegunStreams> {
+        lock(&self.begun_streams)
+    }
+
+    /// Software versions that were in service.
+    pub(crate) fn version_history(&self) -> MutexGuard<'_, VersionHistory> {
+        lock(&self.version_history)
+    }
+
     /// Records that the list of endpoints was current `age_ms` ago.
     pub(crate) fn confirm_endpoints(&self, age_ms: u64) {
         let at_ms = clock::now_ms().saturating_sub(age_ms).max(1);
--- a/crates/gateway/src/peers/announce.rs
+++ b/crates/gateway/src/peers/announce.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 
 use super::{
-    exchange::{self, Exchange},
+    exchange,
     message::SenderRole,
     news,
     sync::{ZONE_TIMEOUT, apply_findings, build_report, report_to_zone},
@@ -65,9 +65,9 @@
     let gateway = follower.gateway();
     let report = build_report(&follower, &member.name, SenderRole::Member, Vec::new(), 1);
     let exchanged =
-        exchange::send(gateway, &member.name, member.control, &report.request, ZONE_TIMEOUT).await;
-    if let Some(Exchange { mut response, .. }) = exchanged {
-        apply_findings(gateway, &member.name, &report, &mut response);
-        news::apply(&follower, response.store);
+        exchange::send(gateway, &member.name, member.control, &report, ZONE_TIMEOUT).await;
+    if let Some(mut exchange) = exchanged {
+        apply_findings(gateway, &member.name, &report, &mut exchange);
+        news::apply(&follower, exchange.response.store);
     }
 }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -10,7 +10,8 @@
 
 use super::{
     PATH,
-    message::{SyncRequest, SyncResponse},
+    message::{self, Decoded, SyncRequest, SyncResponse, VersionResponse},
+    sync::Report,
 };
 use crate::{attempt::collect_body, gateway::Gateway};
 
@@ -20,7 +21,8 @@
 /// A peer's response to a report.
 pub(super) struct Exchange {
     pub(super) response: SyncResponse,
-    /// Size of report and response together, without suspects.
+    pub(super) versions: VersionResponse,
+    /// Size of report and response together, without suspects and software versions.
     pub(super) load_bytes: usize,
 }
 
@@ -36,12 +38,12 @@
     gateway: &Gateway,
     name: &Name,
     control: SocketAddr,
-    report: &SyncRequest,
+    report: &Report,
     timeout: Duration,
 ) -> Option<Exchange> {
     let deadline = Instant::now() + timeout;
-    let body = match postcard::to_stdvec(report) {
-        Ok(body) => Bytes::from(body),
+    let body = match message::encode(&report.request, &report.versions.report) {
+        Ok(body) => body,
         Err(error) => {
             tracing::error!(target: LOG_TARGET, %error, "cannot encode a report");
             return None;
@@ -51,21 +53,21 @@
         Some(connection) => connection,
         None => timeout_at(deadline, gateway.pool.connect(control)).await.ok()?.ok()?,
     };
-    let sent_bytes = body.len();
+    let sent_bytes = body.base_bytes;
     let request = hyper::Request::builder()
         .method(Method::POST)
         .uri(PATH)
         .header(HOST, control.to_string())
-        .body(Full::new(body))
+        .body(Full::new(Bytes::from(body.bytes)))
         .ok()?;
     let response =
         timeout_at(deadline, connection.sender.send_request(request)).await.ok()?.ok()?;
     let bytes = collect_body(response.into_body(), deadline).await.ok()?;
     gateway.pool.put(name, connection, None);
-    match postcard::from_bytes(&bytes) {
-        Ok(response) => {
-            let load_bytes = load_bytes(report, &response, sent_bytes + bytes.len());
-            Some(Exchange { response, load_bytes })
+    match message::decode(&bytes) {
+        Ok(Decoded { message: response, versions, base_bytes }) => {
+            let load_bytes = load_bytes(&report.request, &response, sent_bytes + base_bytes);
+            Some(Exchange { response, versions, load_bytes })
         }
         Err(error) => {
             tracing::warn!(target: LOG_TARGET, %error, peer = %name, "cannot decode a peer's response");
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,10 +1,14 @@
 //! Messages between instances, encoded as postcard.
+//!
+//! A message is a report or response, and after it what concerns software versions, which instances of
+//! earlier releases neither send nor read.
 
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tanagergauge_core::{
     Name,
+    begun_streams::{BegunStreamUpdates, StreamsOfVersion},
     compacted_log::Record,
     endpoint_limits::LimitUpdate,
     endpoint_reports::GoneEndpoint,
@@ -12,6 +16,7 @@
     roster::RosterNews,
     suspects::{Suspect, SuspectUpdates},
     update_log::LogPosition,
+    version_history::{ServiceVersions, VersionUpdates},
 };
 
 /// Role of an instance that sends a report.
@@ -103,6 +108,69 @@
     pub(crate) limits: Vec<LimitUpdate>,
 }
 
+/// What a report tells of software versions.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct VersionReport {
+    /// Streams that the receiver has not received yet.
+    pub(crate) streams: Vec<StreamsOfVersion>,
+    /// Up to where the sender has received the receiver's streams.
+    pub(crate) streams_received: LogPosition,
+    /// Services whose versions the receiver has not received yet.
+    pub(crate) services: Vec<ServiceVersions>,
+    /// Up to where the sender has received the receiver's services.
+    pub(crate) services_received: LogPosition,
+}
+
+/// What a response tells of software versions.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct VersionResponse {
+    /// Streams that the sender of the report has not received yet.
+    pub(crate) streams: BegunStreamUpdates,
+    /// Services whose versions the sender of the report has not received yet.
+    pub(crate) services: VersionUpdates,
+}
+
+/// An encoded message.
+pub(crate) struct Encoded {
+    pub(crate) bytes: Vec<u8>,
+    /// Size without what concerns software versions.
+    pub(crate) base_bytes: usize,
+}
+
+/// Encodes a report or response, and what it tells of software versions.
+///
+/// # Errors
+/// Never for the messages of this module.
+pub(crate) fn encode<M: Serialize, V: Serialize>(
+    message: &M,
+    versions: &V,
+) -> Result<Encoded, postcard::Error> {
+    let bytes = postcard::to_stdvec(message)?;
+    let base_bytes = bytes.len();
+    let bytes = postcard::to_extend(versions, bytes)?;
+    Ok(Encoded { bytes, base_bytes })
+}
+
+/// A decoded message.
+pub(crate) struct Decoded<M, V> {
+    pub(crate) message: M,
+    pub(crate) versions: V,
+    /// Size without what concerns software versions.
+    pub(crate) base_bytes: usize,
+}
+
+/// Decodes a message. One of an earlier release tells nothing of software versions.
+///
+/// # Errors
+/// The bytes are no such message.
+pub(crate) fn decode<M: DeserializeOwned, V: DeserializeOwned + Default>(
+    bytes: &[u8],
+) -> Result<Decoded<M, V>, postcard::Error> {
+    let (message, rest) = postcard::take_from_bytes(bytes)?;
+    let versions = if rest.is_empty() { V::default() } else { postcard::from_bytes(rest)? };
+    Ok(Decoded { message, versions, base_bytes: bytes.len() - rest.len() })
+}
+
 impl Position {
     /// Whether an instance at this position has to be told of endpoints that are gone, of which one
     /// at `other` knows more.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,5 +1,5 @@
-//! Exchange between instances: load reports, store records, and suspects, which are requests that
-//! may crash endpoints.
+//! Exchange between instances: load reports, store records, suspects, which are requests that may
+//! crash endpoints, and the software versions at which streams began.
 //!
 //! The members of an availability zone report to one of them, the zone's hub, and hubs report to
 //! each other.
@@ -12,6 +12,7 @@
 mod serve;
 mod state;
 mod sync;
+mod versions;
 
 pub(crate) use message::Position;
 pub(crate) use serve::handle;
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -4,23 +4,25 @@
 use tanagergauge_core::roster::Peer;
 
 use super::{
-    message::{SenderRole, SyncRequest, SyncResponse},
-    news,
+    message::{self, Decoded, SenderRole, SyncRequest, SyncResponse, VersionReport},
+    news, versions,
 };
 use crate::{clock, follow::StoreFollower};
 
 /// Applies a report and returns the encoded response; `None` if the report cannot be decoded.
 pub(crate) fn handle(follower: &StoreFollower, body: &[u8]) -> Option<Bytes> {
-    let report: SyncRequest = match postcard::from_bytes(body) {
+    let report: Decoded<SyncRequest, VersionReport> = match message::decode(body) {
         Ok(report) => report,
         Err(error) => {
             tracing::warn!(%error, "cannot decode a peer's report");
             return None;
         }
     };
-    let response = apply(follower, report);
-    match postcard::to_stdvec(&response) {
-        Ok(bytes) => Some(Bytes::from(bytes)),
+    let sender = report.message.sender;
+    let response = apply(follower, report.message);
+    let versions = versions::apply_report(follower.gateway(), sender, report.versions);
+    match message::encode(&response, &versions) {
+        Ok(encoded) => Some(Bytes::from(encoded.bytes)),
         Err(error) => {
             tracing::error!(%error, "cannot encode the response to a peer");
             None
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -17,7 +17,10 @@
     update_log::SyncCursors,
 };
 
-use super::message::{Position, StoreNews};
+use super::{
+    message::{Position, StoreNews},
+    versions::VersionCursors,
+};
 use crate::clock;
 
 /// State that an instance keeps about its peers.
@@ -30,6 +33,8 @@
     live_instances: Mutex<LiveInstances>,
     /// Cursors of the exchange of suspects with each peer that this instance reports to.
     suspect_cursors: Mutex<HashMap<Name, SyncCursors>>,
+    /// Cursors of the exchange of software versions with each of them.
+    version_cursors: Mutex<HashMap<Name, VersionCursors>>,
     /// What each peer that this instance reports to last told of what it knows.
     peer_knowledge: Mutex<HashMap<Name, PeerKnowledge>>,
     /// The list of instances was read from the store.
@@ -147,6 +152,20 @@
         self.lock_suspect_cursors().insert(peer.clone(), cursors);
     }
 
+    /// Cursors of the exchange of software versions with a peer.
+    pub(super) fn version_cursors(&self, peer: &str) -> VersionCursors {
+        self.lock_version_cursors().get(peer).copied().unwrap_or_default()
+    }
+
+    /// Updates the cursors of the exchange of software versions with a peer.
+    pub(super) fn set_version_cursors(&self, peer: &Name, cursors: VersionCursors) {
+        self.lock_version_cursors().insert(peer.clone(), cursors);
+    }
+
+    fn lock_version_cursors(&self) -> MutexGuard<'_, HashMap<Name, VersionCursors>> {
+        self.version_cursors.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// What to tell a peer of the instances that this one knows.
     pub(crate) fn roster_news_for(&self, peer: &str) -> RosterNews {
         let told = self.peer_knowledge(peer).roster;
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -18,8 +18,9 @@
 use super::{
     announce,
     exchange::{self, Exchange},
-    message::{SenderRole, SyncRequest, SyncResponse},
+    message::{SenderRole, SyncRequest},
     news, registration,
+    versions::{self, OutgoingVersions},
 };
 use crate::{clock, follow::StoreFollower, gateway::Gateway, store::Store};
 
@@ -31,6 +32,7 @@
 /// A report to a peer.
 pub(super) struct Report {
     pub(super) request: SyncRequest,
+    pub(super) versions: OutgoingVersions,
     /// Up to where the receiver has this instance's suspects once it gets the report.
     suspects_sent: LogPosition,
 }
@@ -60,6 +62,7 @@
 /// until the next report, in milliseconds.
 async fn send_reports(follower: &Arc<StoreFollower>, local: &Peer) -> u64 {
     let gateway = follower.gateway();
+    gateway.begun_streams().expire(clock::now_ms());
     let (hub, members, zones) = {
         let roster = gateway.peers.roster();
         let now_ms = clock::now_ms();
@@ -114,9 +117,10 @@
     if let Some(known) = gateway.peers.hub_lacks() {
         report.request.store = Some(news::collect(follower, known, false));
     }
-    match exchange::send(gateway, &hub.name, hub.control, &report.request, ZONE_TIMEOUT).await {
-        Some(Exchange { mut response, load_bytes }) => {
-            apply_findings(gateway, &hub.name, &report, &mut response);
+    match exchange::send(gateway, &hub.name, hub.control, &report, ZONE_TIMEOUT).await {
+        Some(mut exchange) => {
+            apply_findings(gateway, &hub.name, &report, &mut exchange);
+            let Exchange { response, load_bytes, .. } = exchange;
             gateway.peers.roster().record_success(&hub.name);
             gateway.peers.record_hub_response(&response.store, members);
             gateway.peers.set_other_instances(response.instances);
@@ -171,14 +175,13 @@
     let local = gateway.balancer().local_loads();
     let (loads, instances) = gateway.peers.reports().loads_of_zone(local, clock::now_ms());
     let report = build_report(&follower, &hub.name, SenderRole::Hub, loads, instances);
-    match exchange::send(gateway, &hub.name, hub.control, &report.request, CROSS_ZONE_TIMEOUT).await
-    {
-        Some(Exchange { mut response, load_bytes }) => {
-            apply_findings(gateway, &hub.name, &report, &mut response);
+    match exchange::send(gateway, &hub.name, hub.control, &report, CROSS_ZONE_TIMEOUT).await {
+        Some(mut exchange) => {
+            apply_findings(gateway, &hub.name, &report, &mut exchange);
+            let Exchange { response, load_bytes, .. } = exchange;
             gateway.peers.roster().record_success(&hub.name);
-            let loads = std::mem::take(&mut response.loads);
             let mut reports = gateway.peers.reports();
-            reports.zones.put(&hub.zone, loads, response.instances, clock::now_ms());
+            reports.zones.put(&hub.zone, response.loads, response.instances, clock::now_ms());
             drop(reports);
             news::apply(&follower, response.store);
             load_bytes
@@ -200,10 +203,10 @@
         }
         let name = Name::from(seed.to_string());
         let report = build_report(follower, &name, SenderRole::Member, Vec::new(), 1);
-        let exchanged = exchange::send(gateway, &name, seed, &report.request, ZONE_TIMEOUT).await;
-        if let Some(Exchange { mut response, .. }) = exchanged {
-            apply_findings(gateway, &name, &report, &mut response);
-            news::apply(follower, response.store);
+        let exchanged = exchange::send(gateway, &name, seed, &report, ZONE_TIMEOUT).await;
+        if let Some(mut exchange) = exchanged {
+            apply_findings(gateway, &name, &report, &mut exchange);
+            news::apply(follower, exchange.response.store);
         }
         if gateway.is_initialized() {
             return;
@@ -240,16 +243,21 @@
         limits: gateway.balancer().limits().updates(clock::now_ms()),
         store: lacks.map(|it| news::collect(follower, it, true)),
     };
-    Report { request, suspects_sent: suspects.next }
+    let versions = versions::outgoing(gateway, peer, sender);
+    Report { request, versions, suspects_sent: suspects.next }
 }
 
-/// Applies the limits, suspects and instances in a peer's response, records what it knows, and updates the cursors of the exchange.
+/// Applies the limits, suspects, versions and instances in a peer's response, records what it knows, and
+/// updates the cursors of the exchange.
 pub(super) fn apply_findings(
     gateway: &Gateway,
     peer: &Name,
     report: &Report,
-    response: &mut SyncResponse,
+    exchange: &mut Exchange,
 ) {
+    let versions = std::mem::take(&mut exchange.versions);
+    versions::apply_response(gateway, peer, &report.versions, versions);
+    let response = &mut exchange.response;
     let limits = std::mem::take(&mut response.limits);
     gateway.balancer().limits_mut().merge(limits, clock::now_ms());
     let updates = std::mem::take(&mut response.suspects);
