Keep a record of the software versions in service in the store

After a kill of all instances nobody knows at which versions streams began, nor which versions were in service. Instances now observe the listed versions of services whose streams may be resumed, and the hub of a zone writes `versions-SERVICE` beside the entries of instances when they change: once for all zones, since a hub that hears of the record writes none. Nothing is written while nothing changes, and it is read with the list of instances, which each instance reads at its start anyway. Instances of earlier releases log such keys as entries that they skip.

The first instances of a deployment know that no stream began before: no record is there, each instance registered once, and within 10 s, by the start time that entries now carry.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -205,6 +205,11 @@
         self.endpoints.keys()
     }
 
+    /// Service and software version of each endpoint.
+    pub fn software_versions(&self) -> impl Iterator<Item = (&Name, &Name)> {
+        self.endpoints.values().map(|it| (&it.info.service, &it.info.software_version))
+    }
+
     /// Number of endpoints in each state.
     pub fn endpoint_counts(&self, now_ms: u64) -> EndpointCounts {
         let mut counts = EndpointCounts::default();
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -1,7 +1,10 @@
 //! The operators' configuration of routes, services and client accounts, and
 //! how requests are matched against it.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use crate::Name;
 
@@ -118,6 +121,8 @@
     /// By host, the longest prefix first.
     routes: HashMap<Name, Vec<Arc<Route>>>,
     services: HashMap<Name, Service>,
+    /// Services of routes whose streams may be resumed.
+    resumable_services: HashSet<Name>,
     /// Client accounts by credential; empty if requests need none.
     accounts_by_key: HashMap<Name, ClientAccount>,
     /// Distinct priorities of accounts, ascending.
@@ -128,6 +133,11 @@
     pub limits: CallerLimits,
 }
 
+fn resumable_services(routes: &[Route]) -> HashSet<Name> {
+    let resumable = routes.iter().filter(|it| it.retry_safety == RetrySafety::ResumableStream);
+    resumable.flat_map(|it| &it.targets).map(|it| it.service.clone()).collect()
+}
+
 /// Result of authenticating a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Identity {
@@ -150,6 +160,7 @@
     ) -> Configuration {
         let account_priorities = ascending(accounts_by_key.values().map(account_priority));
         let route_priorities = ascending(routes.iter().map(|it| it.priority));
+        let resumable_services = resumable_services(&routes);
         let mut by_host: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
@@ -162,6 +173,7 @@
             version,
             routes: by_host,
             services,
+            resumable_services,
             accounts_by_key,
             account_priorities,
             route_priorities,
@@ -185,6 +197,11 @@
         self.services.get(name)
     }
 
+    /// Whether streams of a service may be resumed, on any route.
+    pub fn has_resumable_streams(&self, service: &str) -> bool {
+        self.resumable_services.contains(service)
+    }
+
     /// Rank of a request by its account and route, from 0 for the most urgent to [`MAX_RANK`].
     pub fn rank(&self, route: &Route, account: Option<&ClientAccount>) -> u8 {
         let account = account.map_or(DEFAULT_PRIORITY, account_priority);
--- a/crates/core/src/version_history.rs
+++ b/crates/core/src/version_history.rs
@@ -112,6 +112,8 @@
     complete_at_ms: u64,
     /// Listed versions that the store's record names, sorted; `None` if there is no record.
     stored: Option<Vec<Name>>,
+    /// The same by what a peer told last. It may know of a newer record, or of an older one.
+    stored_by_peer: Option<Vec<Name>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -233,7 +235,9 @@
                 is_news |= history.add_version(version, age_ms, now_ms);
             }
             is_news |= history.merge_completeness(it.complete_in_ms, now_ms);
-            is_news |= history.merge_stored(it.stored);
+            if it.stored.is_some() {
+                history.stored_by_peer = it.stored;
+            }
             if is_news {
                 self.updates.extend([it.service]);
             }
@@ -251,7 +255,7 @@
     ) {
         let are_first = !std::mem::replace(&mut self.are_records_read, true);
         for history in self.services.values_mut() {
-            history.stored = None;
+            (history.stored, history.stored_by_peer) = (None, None);
         }
         for (service, record) in records {
             let history = self.service_mut(&service);
@@ -269,14 +273,14 @@
         if !self.are_records_read || !self.is_list_read {
             return Vec::new();
         }
-        let differs = |it: &ServiceHistory| it.stored.as_ref() != Some(&it.listed());
-        let to_store = self.services.iter().filter(|(_, it)| differs(it));
+        let to_store = self.services.iter().filter(|(_, it)| !it.is_stored());
         to_store.map(|(service, it)| (service.clone(), it.record(unix_ms, now_ms))).collect()
     }
 
     /// Records that a record was written.
     pub fn record_stored(&mut self, service: &Name, record: &VersionRecord) {
-        self.service_mut(service).stored = Some(record.listed());
+        let history = self.service_mut(service);
+        (history.stored, history.stored_by_peer) = (Some(record.listed()), None);
         self.updates.extend([service.clone()]);
     }
 
@@ -286,6 +290,7 @@
             versions: BTreeMap::new(),
             complete_at_ms,
             stored: None,
+            stored_by_peer: None,
         })
     }
 }
@@ -323,14 +328,10 @@
         is_news
     }
 
-    /// A peer may not have heard of the newest record, so that only what fits is taken over. Returns
-    /// whether it was.
-    fn merge_stored(&mut self, stored: Option<Vec<Name>>) -> bool {
-        let is_news = stored.is_some() && self.stored != stored && stored == Some(self.listed());
-        if is_news {
-            self.stored = stored;
-        }
-        is_news
+    /// Whether the store's record names the versions that are listed.
+    fn is_stored(&self) -> bool {
+        let listed = Some(self.listed());
+        self.stored == listed || self.stored_by_peer == listed
     }
 
     fn apply_record(&mut self, record: VersionRecord, unix_ms: u64, now_ms: u64) {
@@ -379,7 +380,7 @@
 
 impl VersionRecord {
     /// Versions that were listed when the record was written, sorted.
-    fn listed(&self) -> Vec<Name> {
+    pub fn listed(&self) -> Vec<Name> {
         let listed = self.versions.iter().filter(|it| it.until_unix_ms.is_none());
         let mut listed: Vec<Name> = listed.map(|it| it.version.clone()).collect();
         listed.sort_unstable();
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -55,6 +55,7 @@
         .set(as_f64(gateway.connections.load(Ordering::Relaxed)));
     gauge!("tanagergauge_instances_known").set(as_f64(gateway.peers.roster().len()));
     gauge!("tanagergauge_suspects").set(as_f64(gateway.suspects().len()));
+    gauge!("tanagergauge_begun_streams").set(as_f64(gateway.begun_streams().len()));
     let now_ms = clock::now_ms();
     let (counts, peer_loads_age_ms) = {
         let balancer = gateway.balancer();
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -12,12 +12,14 @@
 mod serve;
 mod state;
 mod sync;
+mod version_records;
 mod versions;
 
 pub(crate) use message::Position;
 pub(crate) use serve::handle;
 pub(crate) use state::PeerState;
 pub(crate) use sync::run;
+pub(crate) use version_records::record_listed;
 
 /// Path at which an instance receives reports from its peers.
 pub(crate) const PATH: &str = "/peer/sync";
--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -3,13 +3,14 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use tanagergauge_core::{Name, roster::Peer};
+use tanagergauge_core::{Name, roster::Peer, version_history::VersionRecord};
 use tokio::time::{sleep, timeout};
 
 use crate::{
     backoff::Backoff,
     clock,
     gateway::Gateway,
+    peers::version_records,
     request::{fraction, uniform_hash},
     store::{Snapshot, Store, Topic},
 };
@@ -24,6 +25,8 @@
 const INITIAL_ROSTER_BACKOFF: Duration = Duration::from_millis(500);
 /// Longest such delay. An instance without the list knows no hub, and reads the store by itself.
 const MAX_ROSTER_BACKOFF: Duration = Duration::from_secs(2);
+/// The first instances of a deployment start within this time, in milliseconds.
+const FIRST_START_SPAN_MS: u64 = 10_000;
 /// Added to the number of listed instances that share the retry budget, for one that has started
 /// but is not in the list yet.
 const UNLISTED_INSTANCES: usize = 1;
@@ -34,6 +37,18 @@
     availability_zone: Name,
     #[serde(rename = "control")]
     control_address: SocketAddr,
+    /// Start of the process as Unix milliseconds; 0 if the entry does not tell.
+    #[serde(default)]
+    started_unix_ms: u64,
+}
+
+/// What the store's topic of instances holds.
+#[derive(Debug)]
+struct InstanceList {
+    instances: Vec<(Peer, Registration)>,
+    versions: Vec<(Name, VersionRecord)>,
+    /// Each key was written once.
+    is_unchanged: bool,
 }
 
 /// Writes this instance's entry into the store and keeps the list of instances up to date.
@@ -42,6 +57,7 @@
     let registration = Registration {
         availability_zone: settings.availability_zone.clone(),
         control_address: settings.control_listen,
+        started_unix_ms: clock::unix_ms(),
     };
     let value = match serde_json::to_vec(&registration) {
         Ok(value) => value,
@@ -58,7 +74,7 @@
         match store.snapshot(Topic::Instances).await {
             Ok(snapshot) => {
                 let is_listed = snapshot.records.iter().any(|it| it.key == settings.instance);
-                update_roster(&gateway, snapshot);
+                apply(&gateway, decode(snapshot));
                 backoff.reset();
                 if !is_listed {
                     tracing::info!(target: LOG_TARGET, era, "the entry of this instance is missing; writing it again");
@@ -92,30 +108,64 @@
     }
 }
 
-fn update_roster(gateway: &Gateway, snapshot: Snapshot) {
+/// Decodes the entries of instances, and the records of software versions beside them.
+fn decode(snapshot: Snapshot) -> InstanceList {
+    let is_unchanged = snapshot.records.len() as u64 == snapshot.end;
+    let mut list = InstanceList { instances: Vec::new(), versions: Vec::new(), is_unchanged };
     let mut records = snapshot.records;
     // Of two entries with the same address, the later one belongs to the running instance.
     records.sort_by_key(|it| it.offset);
-    let mut roster = gateway.peers.roster();
     for record in records {
+        if let Some(versions) = version_records::decode(&record) {
+            list.versions.push(versions);
+            continue;
+        }
         let Some(value) = record.value else { continue };
         match serde_json::from_slice::<Registration>(&value) {
-            Ok(it) => roster.put(Peer {
-                name: record.key,
-                zone: it.availability_zone,
-                control: it.control_address,
-            }),
+            Ok(it) => {
+                let (zone, control) = (it.availability_zone.clone(), it.control_address);
+                list.instances.push((Peer { name: record.key, zone, control }, it));
+            }
             Err(error) => {
                 tracing::warn!(target: LOG_TARGET, instance = %record.key, %error, "skipping the entry of an instance");
             }
         }
     }
+    list
+}
+
+fn apply(gateway: &Gateway, list: InstanceList) {
+    let (unix_ms, now_ms) = (clock::unix_ms(), clock::now_ms());
+    let is_first_start = !gateway.peers.is_list_read() && list.is_first_start(unix_ms);
+    let mut history = gateway.version_history();
+    if is_first_start {
+        tracing::info!(target: LOG_TARGET, "first start of the deployment: no stream began before");
+        history.record_first_start();
+    }
+    history.apply_records(list.versions, unix_ms, now_ms);
+    drop(history);
+    let mut roster = gateway.peers.roster();
+    for (peer, _) in list.instances {
+        roster.put(peer);
+    }
     let known = roster.len();
     drop(roster);
     gateway.peers.set_list_read();
     share_budgets(gateway, known);
 }
 
+impl InstanceList {
+    /// Whether no instance can have run before those that start now: nobody wrote a record of software
+    /// versions, and each instance has registered once, just now.
+    fn is_first_start(&self, unix_ms: u64) -> bool {
+        let is_young =
+            |it: &Registration| unix_ms.abs_diff(it.started_unix_ms) <= FIRST_START_SPAN_MS;
+        self.is_unchanged
+            && self.versions.is_empty()
+            && self.instances.iter().all(|(_, it)| is_young(it))
+    }
+}
+
 /// Divides the retry budgets among the known instances.
 pub(super) fn share_budgets(gateway: &Gateway, known: usize) {
     let instances = known + UNLISTED_INSTANCES;
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -19,7 +19,7 @@
     announce,
     exchange::{self, Exchange},
     message::{SenderRole, SyncRequest},
-    news, registration,
+    news, registration, version_records,
     versions::{self, OutgoingVersions},
 };
 use crate::{clock, follow::StoreFollower, gateway::Gateway, store::Store};
@@ -42,7 +42,8 @@
     let gateway = Arc::clone(follower.gateway());
     let local = local_peer(&gateway);
     gateway.peers.roster().put(local.clone());
-    tokio::spawn(registration::run(Arc::clone(&gateway), store));
+    tokio::spawn(registration::run(Arc::clone(&gateway), Arc::clone(&store)));
+    tokio::spawn(version_records::run(Arc::clone(&gateway), store));
     let mut is_announced = false;
     loop {
         let begin = Instant::now();
--- a/crates/gateway/src/view/endpoint.rs
+++ b/crates/gateway/src/view/endpoint.rs
@@ -13,6 +13,7 @@
 use crate::{
     clock,
     gateway::Gateway,
+    peers,
     store::{Decoders, EndpointEntry},
     suspects,
 };
@@ -43,6 +44,9 @@
                     suspects::record_endpoint_lost(gateway, key);
                 }
                 let changed = gateway.balancer().upsert(info);
+                if changed {
+                    peers::record_listed(gateway, &service, &software_version);
+                }
                 match report {
                     ChangeReport::Each if changed => {
                         tracing::info!(target: LOG_TARGET, endpoint = %key, %service, leaving, %software_version, "endpoint changed");
