Continue a broken stream at its software version only

Callers got streams with events of two software versions: when a server broke a stream off, the instance asked the endpoint that cost least to continue it, whatever version that ran.

Cause: endpoints of a service were taken for interchangeable; the selection did not know versions. A stream now requires the version of the endpoint whose events were forwarded first, and only endpoints of that version are asked to continue it; if none is left, it ends as one that nobody can continue. Before the first event any endpoint may begin it.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -269,17 +269,41 @@
         }
     }
 
-    /// Those of the endpoints that may get the request by their limits and health.
+    /// Those of the endpoints that have the required software version.
+    fn of_required_version<'a>(
+        &self,
+        query: &EndpointQuery<'_>,
+        untried: &[&'a Endpoint],
+    ) -> Result<Vec<&'a Endpoint>, NoEndpoint> {
+        let Some(version) = query.software_version else { return Ok(untried.to_vec()) };
+        let of_version: Vec<&Endpoint> =
+            untried.iter().filter(|it| it.info.software_version == *version).copied().collect();
+        if !of_version.is_empty() {
+            return Ok(of_version);
+        }
+        if self.serves_version(query.service, version) {
+            return Err(NoEndpoint::Exhausted);
+        }
+        Err(NoEndpoint::NoneOfVersion)
+    }
+
+    fn serves_version(&self, service: &Name, version: &Name) -> bool {
+        let serves = |it: &Endpoint| it.info.service == *service && !it.info.leaving;
+        self.endpoints.values().any(|it| serves(it) && it.info.software_version == *version)
+    }
+
+    /// Those of the endpoints that may get the request by their version, limits and health.
     fn candidates<'a>(
         &self,
         query: &EndpointQuery<'_>,
         untried: &[&'a Endpoint],
         now_ms: u64,
     ) -> Result<Vec<&'a Endpoint>, NoEndpoint> {
+        let of_version = self.of_required_version(query, untried)?;
         let is_permitted = |it: &&&Endpoint| {
             self.limits.permission(&it.info.id, query.unix_ms) != Permission::Wait
         };
-        let permitted: Vec<&Endpoint> = untried.iter().filter(is_permitted).copied().collect();
+        let permitted: Vec<&Endpoint> = of_version.iter().filter(is_permitted).copied().collect();
         if permitted.is_empty() {
             return Err(NoEndpoint::Limited);
         }
--- a/crates/core/src/selection.rs
+++ b/crates/core/src/selection.rs
@@ -26,6 +26,8 @@
     pub parts: &'a [PromptPart],
     /// Endpoints that the request was sent to before; they are not selected again.
     pub tried: &'a [Name],
+    /// Version of the software that has to run the request; `None` if any may.
+    pub software_version: Option<&'a Name>,
     /// The request is a stream whose event gap goal an engine in constant prefill would miss.
     pub latency_sensitive: bool,
     /// The request may run twice, so it may go to an endpoint on probation.
@@ -95,6 +97,8 @@
     NoneServing,
     /// All endpoints are paused or were tried.
     Exhausted,
+    /// Endpoints serve, but none of the required software version.
+    NoneOfVersion,
     /// The endpoints that are left have named limits, and this instance's share is used up.
     Limited,
 }
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -38,6 +38,7 @@
         service,
         parts,
         tried,
+        software_version: None,
         latency_sensitive: false,
         may_probe: false,
         random: 7,
@@ -244,6 +245,34 @@
     assert_eq!(none, Err(NoEndpoint::Exhausted));
 }
 
+#[test]
+fn only_endpoints_of_the_required_software_version_are_selected() {
+    let service = Name::from(SERVICE);
+    let mut balancer = balancer(6);
+    let new = Name::from("v2");
+    for it in [1, 4] {
+        balancer.upsert(EndpointInfo { software_version: new.clone(), ..endpoint_info(it) });
+    }
+    let (first, last) = (endpoint_info(1).id, endpoint_info(4).id);
+    let choose = |balancer: &Balancer, scene: u64, tried: &[Name]| {
+        let parts = [PromptPart { id: scene, tokens: 3_000 }];
+        let query = query(&service, &parts, tried);
+        let query = EndpointQuery { software_version: Some(&new), random: scene, ..query };
+        balancer.choose(&query, 0).map(|it| (it.id, it.software_version))
+    };
+    for scene in 0..100 {
+        let (id, version) = choose(&balancer, scene, &[]).expect("an engine");
+        assert!(version == new && (id == first || id == last), "{id} {version}");
+        let tried = std::slice::from_ref(&first);
+        assert_eq!(choose(&balancer, scene, tried), Ok((last.clone(), new.clone())));
+    }
+    let both = [first.clone(), last.clone()];
+    assert_eq!(choose(&balancer, 0, &both), Err(NoEndpoint::Exhausted));
+    balancer.set_leaving(&first);
+    balancer.set_leaving(&last);
+    assert_eq!(choose(&balancer, 0, &[]), Err(NoEndpoint::NoneOfVersion));
+}
+
 /// An endpoint that fails some of its requests while its status check is good.
 #[test]
 fn a_failing_endpoint_is_avoided() {
--- a/crates/core/tests/replay/mod.rs
+++ b/crates/core/tests/replay/mod.rs
@@ -219,6 +219,7 @@
             service: &service,
             parts: &arrival.parts,
             tried: &[],
+            software_version: None,
             latency_sensitive: arrival.latency_sensitive,
             may_probe: false,
             random: arrival.random,
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -30,6 +30,8 @@
     pub(crate) send_history: SendHistory,
     /// Endpoints of failed attempts.
     pub(crate) tried: SmallVec<[Name; 2]>,
+    /// Version of the software that has to continue the stream; `None` if any may begin it.
+    pub(crate) required_version: Option<Name>,
     /// Endpoint chosen at admission; the first attempt takes it.
     pub(crate) preselected: Option<SelectedEndpoint>,
     /// The latest choice of an endpoint.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -158,7 +158,10 @@
                 }
                 State::Streaming(..) => match ready!(self.poll_upstream(cx)) {
                     Step::Bytes(bytes) if bytes.is_empty() => {}
-                    Step::Bytes(bytes) => return Poll::Ready(Some(Ok(bytes))),
+                    Step::Bytes(bytes) => {
+                        self.require_version();
+                        return Poll::Ready(Some(Ok(bytes)));
+                    }
                     Step::End => return Poll::Ready(self.end(BodyEnd::Whole)),
                     Step::UnknownEnd => self.check_endpoint(),
                     Step::Failed(failure) => {
@@ -204,6 +207,16 @@
         }
     }
 
+    /// Makes a stream of which events are forwarded go on at its endpoint's software version only: what
+    /// two versions write does not fit together.
+    fn require_version(&mut self) {
+        let State::Streaming(upstream) = &self.state else { return };
+        if self.events.can_resume() && self.progress.required_version.is_none() {
+            let version = upstream.attempt.chosen.software_version.clone();
+            self.progress.required_version = Some(version);
+        }
+    }
+
     /// Ready if the stream has stalled or the caller's deadline has passed.
     fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
         while self.timer.as_mut().poll(cx).is_ready() {
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -220,6 +220,7 @@
         service: &request.service,
         parts: &request.parts,
         tried: &progress.tried,
+        software_version: progress.required_version.as_ref(),
         latency_sensitive: request.latency_sensitive,
         may_probe: request.route.retry_safety.allows_resend(),
         random: uniform_hash(&request.id),
@@ -227,11 +228,12 @@
     };
     let chosen = gateway.balancer().choose(&query, clock::now_ms());
     if let (Err(error), Some(failure)) = (&chosen, progress.last_failure) {
-        tracing::info!(request = %request.id, %failure, decision = %error, "request is not sent again");
+        let software_version = progress.required_version.as_deref();
+        tracing::info!(request = %request.id, %failure, decision = %error, software_version, "request is not sent again");
     }
     chosen.map_err(|error| match error {
         _ if progress.send_history.may_have_run > 0 => exhausted_refusal(progress),
-        NoEndpoint::NoneServing | NoEndpoint::Exhausted => {
+        NoEndpoint::NoneServing | NoEndpoint::Exhausted | NoEndpoint::NoneOfVersion => {
             Refusal::not_run(Reason::NoEndpoint).retry_after_ms(SHORT_RETRY_MS)
         }
         NoEndpoint::Limited => {
