Take streams up at the service that began them on split routes

On a route that is split between services, a caller that took its stream up got the rest of it from another service in some cases: the service goes by the hash of the request's id, which is another one for each attempt. A take-up now goes by the id of the attempt that it names in `Resumes`, so that it has the service of that attempt as long as the weights stay. Shares of the services stay as they are.

a_take_up_goes_on_at_the_service_that_began failed on (8 take-ups, the first at the other service) and passes.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -83,8 +83,8 @@
         Default::default()
     };
     let take_up = TakeUp::read(&head.headers, names, &route);
-    let target = route.target(uniform_hash(&id)).cloned();
-    let service = target.ok_or_else(|| refuse(Refusal::not_run(Reason::NoEndpoint)))?;
+    let service = select_service(&route, &id, take_up.as_ref());
+    let service = service.ok_or_else(|| refuse(Refusal::not_run(Reason::NoEndpoint)))?;
     let rank = configuration.rank(&route, account.as_ref());
     let engine = configuration.service(&service).and_then(|it| it.engine);
     let latency_sensitive = engine.is_some_and(|it| route.is_latency_sensitive(&it));
@@ -163,6 +163,13 @@
     }
 }
 
+/// The service that runs a request. Of those that share a route, the one that began a stream goes on with
+/// it.
+fn select_service(route: &Route, id: &Name, take_up: Option<&TakeUp>) -> Option<Name> {
+    let begun_as = take_up.and_then(|it| it.resumes.as_ref()).unwrap_or(id);
+    route.target(uniform_hash(begun_as)).cloned()
+}
+
 /// The route of a request and the account that its credential belongs to.
 fn authenticate(
     configuration: &Configuration,
