Take streams up at the software version that began them

Cause: a take-up was placed like a new request. Nothing read `Resumes`, and nobody remembered at which version a stream had begun. A take-up requires the version of the attempt that it names, or the only version that was in service for as long as a stream can be old. If neither is known the caller gets 503 with the reason `unknown_version`, with Retry-After only where a peer may still tell it; if no endpoint of the version is left, 503 with `version_gone` and without. A request without `Last-Event-Id` asks for all events and may begin anywhere. Take-ups go through admission as before. `request ended` tells `version_source`.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -130,4 +130,8 @@
     TooManyStreams,
     /// All endpoints have named limits, which are used up.
     EndpointLimit,
+    /// It is not known which software version began the stream that the caller takes up.
+    UnknownVersion,
+    /// No endpoint of the software version that began the stream is left.
+    VersionGone,
 }
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -26,7 +26,7 @@
     response::{Refusal, ResponseBody},
     retry::choose_endpoint,
     suspects,
-    take_up::TakeUp,
+    take_up::{TakeUp, VersionChoice, VersionSource, choose_version, unknown_version_refusal},
 };
 
 /// A request that was refused before it was complete and had a route.
@@ -119,7 +119,7 @@
 /// Chooses an endpoint and decides whether to admit the request.
 ///
 /// # Errors
-/// The request is quarantined, has no endpoint, or is expected to be late and should be retried
+/// The request is quarantined, continues a stream of an unknown software version, has no endpoint, or is expected to be late and should be retried
 /// after a delay.
 pub(crate) fn choose_and_admit(
     gateway: &Gateway,
@@ -129,6 +129,7 @@
     if suspects::is_quarantined(gateway, request) {
         return Err(Refusal::not_run(Reason::Quarantined));
     }
+    require_version(gateway, request, progress)?;
     let chosen = choose_endpoint(gateway, request, progress)?;
     // Without prompt parts the prefill time is unknown, so that admission control cannot decide.
     if request.parts.is_empty() {
@@ -163,6 +164,29 @@
     }
 }
 
+/// Requires the software version that began the stream, if the caller takes one up.
+///
+/// # Errors
+/// That version is not known.
+fn require_version(
+    gateway: &Gateway,
+    request: &Request,
+    progress: &mut RequestProgress,
+) -> Result<(), Refusal> {
+    match choose_version(gateway, request) {
+        VersionChoice::Any => Ok(()),
+        VersionChoice::Required { version, source } => {
+            progress.required_version = Some(version);
+            progress.version_source = Some(source);
+            Ok(())
+        }
+        VersionChoice::Unknown { may_become_known } => {
+            progress.version_source = Some(VersionSource::Unknown);
+            Err(unknown_version_refusal(may_become_known))
+        }
+    }
+}
+
 /// The service that runs a request. Of those that share a route, the one that began a stream goes on with
 /// it.
 fn select_service(route: &Route, id: &Name, take_up: Option<&TakeUp>) -> Option<Name> {
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -10,7 +10,7 @@
     send_history::{Failure, SendHistory},
 };
 
-use crate::{clock, meters, request::Request};
+use crate::{clock, meters, request::Request, take_up::VersionSource};
 
 /// Log target that deployed log filters select; it is independent of the module path.
 const LOG_TARGET: &str = "tanagergauge_gateway::course";
@@ -32,6 +32,8 @@
     pub(crate) tried: SmallVec<[Name; 2]>,
     /// Version of the software that has to continue the stream; `None` if any may begin it.
     pub(crate) required_version: Option<Name>,
+    /// How it is known which version that is; `None` if the caller takes up no stream.
+    pub(crate) version_source: Option<VersionSource>,
     /// Endpoint chosen at admission; the first attempt takes it.
     pub(crate) preselected: Option<SelectedEndpoint>,
     /// The latest choice of an endpoint.
@@ -110,6 +112,7 @@
             endpoint = self.last_choice.as_ref().map(|it| &*it.id),
             software_version = self.last_choice.as_ref().map(|it| &*it.software_version),
             resumes = request.take_up.as_ref().map(|it| it.resumes.as_deref().unwrap_or("")),
+            version_source = self.version_source.map(<&str>::from),
             expected_ms = self.last_choice.as_ref().map(|it| it.expected_ms as u64),
             unread_tokens = self.last_choice.as_ref().map(|it| it.prefill_tokens),
             running = estimate.map(|it| it.running as u64),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -31,7 +31,7 @@
     progress::RequestProgress,
     request::Request,
     retry::{OpenedResponse, open_response},
-    suspects,
+    suspects, take_up,
 };
 
 /// Time without an event after which a resumable stream counts as stalled, as a multiple of the route's
@@ -97,6 +97,8 @@
     timer: Pin<Box<Sleep>>,
     /// How often the stream was resumed.
     resumed: u32,
+    /// Events of a stream that may be resumed were forwarded.
+    has_begun: bool,
 }
 
 impl State {
@@ -124,6 +126,7 @@
             last_data: Instant::now(),
             timer: Box::pin(sleep_until(request.deadline)),
             resumed: 0,
+            has_begun: false,
             request,
         };
         relay.reset_timer();
@@ -159,7 +162,7 @@
                 State::Streaming(..) => match ready!(self.poll_upstream(cx)) {
                     Step::Bytes(bytes) if bytes.is_empty() => {}
                     Step::Bytes(bytes) => {
-                        self.require_version();
+                        self.record_begun();
                         return Poll::Ready(Some(Ok(bytes)));
                     }
                     Step::End => return Poll::Ready(self.end(BodyEnd::Whole)),
@@ -207,14 +210,17 @@
         }
     }
 
-    /// Makes a stream of which events are forwarded go on at its endpoint's software version only: what
-    /// two versions write does not fit together.
-    fn require_version(&mut self) {
+    /// Records the software version at which a stream began whose first events are forwarded. It goes on
+    /// at that version only: what two versions write does not fit together.
+    fn record_begun(&mut self) {
         let State::Streaming(upstream) = &self.state else { return };
-        if self.events.can_resume() && self.progress.required_version.is_none() {
-            let version = upstream.attempt.chosen.software_version.clone();
-            self.progress.required_version = Some(version);
+        if !self.events.can_resume() || self.has_begun {
+            return;
         }
+        self.has_begun = true;
+        let version = &upstream.attempt.chosen.software_version;
+        take_up::record_begun(&self.gateway, &self.request, version);
+        self.progress.required_version.get_or_insert_with(|| version.clone());
     }
 
     /// Ready if the stream has stalled or the caller's deadline has passed.
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -233,7 +233,8 @@
     }
     chosen.map_err(|error| match error {
         _ if progress.send_history.may_have_run > 0 => exhausted_refusal(progress),
-        NoEndpoint::NoneServing | NoEndpoint::Exhausted | NoEndpoint::NoneOfVersion => {
+        NoEndpoint::NoneOfVersion => Refusal::not_run(Reason::VersionGone),
+        NoEndpoint::NoneServing | NoEndpoint::Exhausted => {
             Refusal::not_run(Reason::NoEndpoint).retry_after_ms(SHORT_RETRY_MS)
         }
         NoEndpoint::Limited => {
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -1,12 +1,23 @@
 //! Streams that their callers take up again after they broke off.
+//!
+//! What servers of two software versions write does not fit together, so that a stream goes on only at
+//! the version that began it. That version is known from the attempt that the caller names, or because no
+//! other was in service for as long as the stream can be old.
+
+use std::sync::Arc;
 
 use hyper::HeaderMap;
 use tanagergauge_core::{
-    Name,
+    Name, Reason,
+    begun_streams::StreamKey,
     routing::{RetrySafety, Route},
+    version_history::SoleVersion,
 };
 
-use crate::header_names::HeaderNames;
+use crate::{
+    clock, gateway::Gateway, header_names::HeaderNames, progress::SHORT_RETRY_MS, request::Request,
+    response::Refusal,
+};
 
 /// What a caller says of the stream that it takes up.
 #[derive(Clone, Debug)]
@@ -15,16 +26,39 @@
     pub(crate) resumes: Option<Name>,
 }
 
+/// How it is known which software version has to continue a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum VersionSource {
+    /// The attempt that the caller names is known.
+    Known,
+    /// No other version can have begun the stream.
+    OnlyVersion,
+    /// It is not known.
+    Unknown,
+}
+
+/// At which software version a request may run.
+#[derive(Clone, Debug)]
+pub(crate) enum VersionChoice {
+    /// At any: the request begins a stream, or brings none.
+    Any,
+    /// Only at this one, which began the stream.
+    Required { version: Name, source: VersionSource },
+    /// It is not known which version began the stream.
+    Unknown {
+        /// An instance may tell it soon.
+        may_become_known: bool,
+    },
+}
+
 impl TakeUp {
-    /// Reads the headers of a request; `None` if it begins a stream, or if its route has none that may be
-    /// resumed.
+    /// Reads the headers of a request. `None` if it asks for all events, from the first on, or if the
+    /// route's streams may not be resumed.
     pub(crate) fn read(headers: &HeaderMap, names: &HeaderNames, route: &Route) -> Option<TakeUp> {
-        if route.retry_safety != RetrySafety::ResumableStream {
-            return None;
-        }
         let has_events = headers.get_all(&names.last_event_id).iter().any(|it| !it.is_empty());
-        let resumes = read_resumes(headers, names);
-        (has_events || resumes.is_some()).then_some(TakeUp { resumes })
+        let is_take_up = has_events && route.retry_safety == RetrySafety::ResumableStream;
+        is_take_up.then(|| TakeUp { resumes: read_resumes(headers, names) })
     }
 }
 
@@ -34,3 +68,48 @@
     let id = values.next()?.to_str().ok()?.trim();
     (!id.is_empty() && values.next().is_none()).then(|| Name::from(id))
 }
+
+/// Finds out at which software version a request may run.
+pub(crate) fn choose_version(gateway: &Gateway, request: &Request) -> VersionChoice {
+    let Some(take_up) = &request.take_up else { return VersionChoice::Any };
+    let now_ms = clock::now_ms();
+    if let Some(resumes) = &take_up.resumes {
+        let key = stream_key(request, resumes);
+        if let Some(version) = gateway.begun_streams().version_of(key, now_ms).cloned() {
+            return VersionChoice::Required { version, source: VersionSource::Known };
+        }
+    }
+    let list_age_ms = gateway.endpoints_age_ms();
+    let history = gateway.version_history();
+    match history.sole_version(&request.service, list_age_ms, now_ms) {
+        SoleVersion::One(version) => {
+            VersionChoice::Required { version, source: VersionSource::OnlyVersion }
+        }
+        SoleVersion::Several => {
+            VersionChoice::Unknown { may_become_known: take_up.resumes.is_some() }
+        }
+        SoleVersion::Unknown => VersionChoice::Unknown { may_become_known: true },
+    }
+}
+
+/// The refusal of a stream of which it is not known which software version began it. Without a delay the
+/// caller has to begin anew.
+pub(crate) fn unknown_version_refusal(may_become_known: bool) -> Refusal {
+    let refusal = Refusal::not_run(Reason::UnknownVersion);
+    if may_become_known { refusal.retry_after_ms(SHORT_RETRY_MS) } else { refusal }
+}
+
+/// Records at which software version a stream began or goes on, under the ids of this attempt and of the
+/// one that it resumes.
+pub(crate) fn record_begun(gateway: &Arc<Gateway>, request: &Request, version: &Name) {
+    let resumes = request.take_up.as_ref().and_then(|it| it.resumes.as_ref());
+    let now_ms = clock::now_ms();
+    for id in [&request.id].into_iter().chain(resumes) {
+        gateway.begun_streams().record(stream_key(request, id), version, now_ms);
+    }
+}
+
+fn stream_key(request: &Request, id: &str) -> StreamKey {
+    let account = request.account.as_ref().map_or("", |it| &*it.name);
+    StreamKey::new(account, &request.service, id)
+}
