Do not take one version for the sole one after a freeze

An instance that was frozen while a new version came into service took its old list for current: the first answer that it read after it went on had waited in the socket, and confirmed the list with age 0. A stream of the new version, taken up there, would have gone on at the old one.

The history now notices when the list was not observed for over a second, and asks for a list that was confirmed 0.3 s after that or later. The list may be 1.5 s old rather than 3 s: hubs read it every 0.7 s.

a_process_that_was_stopped_waits_for_a_new_list fails without it.

--- a/crates/core/src/version_history.rs
+++ b/crates/core/src/version_history.rs
@@ -20,7 +20,12 @@
 pub const VERSION_RETENTION_MS: u64 = 30_000;
 /// Largest age of the list of endpoints at which it tells which versions are in service, in
 /// milliseconds. A hub reads the list every 700 ms.
-const MAX_LIST_AGE_MS: u64 = 3_000;
+const MAX_LIST_AGE_MS: u64 = 1_500;
+/// Longest time between observations of the list, in milliseconds. After a longer one this process was
+/// stopped meanwhile.
+const MAX_OBSERVATION_GAP_MS: u64 = 1_000;
+/// Time after such a stop within which answers arrive that were given before its end, in milliseconds.
+const STALE_ANSWERS_MS: u64 = 300;
 /// How much the Unix times of instances may differ, in milliseconds.
 pub const UNIX_TIME_MARGIN_MS: u64 = 5_000;
 /// Least gain, in milliseconds, for which a peer's completeness is taken over. What two instances make
@@ -103,6 +108,10 @@
     are_records_read: bool,
     /// The list of endpoints was read.
     is_list_read: bool,
+    /// When the list was last observed, or this process started; monotonic time.
+    observed_ms: u64,
+    /// When this process went on after it had been stopped; 0 if it never was.
+    went_on_ms: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -134,6 +143,8 @@
             updates: UpdateLog::new(log, MAX_UPDATES),
             are_records_read: false,
             is_list_read: false,
+            observed_ms: now_ms,
+            went_on_ms: 0,
         }
     }
 
@@ -151,14 +162,26 @@
         if counting.next().is_some() {
             return SoleVersion::Several;
         }
-        let is_current = list_age_ms.is_some_and(|it| it <= MAX_LIST_AGE_MS);
-        if is_current && history.complete_at_ms <= now_ms {
+        if self.is_list_current(list_age_ms, now_ms) && history.complete_at_ms <= now_ms {
             SoleVersion::One(version.clone())
         } else {
             SoleVersion::Unknown
         }
     }
 
+    /// Whether the list of endpoints has the versions that others know. That of a process that was
+    /// stopped may be old although it was confirmed just now, by an answer that waited for the process.
+    fn is_list_current(&self, list_age_ms: Option<u64>, now_ms: u64) -> bool {
+        let was_stopped = now_ms.saturating_sub(self.observed_ms) > MAX_OBSERVATION_GAP_MS;
+        let is_young = |age_ms: u64| {
+            let confirmed_ms = now_ms.saturating_sub(age_ms);
+            let is_after_stop =
+                self.went_on_ms == 0 || confirmed_ms >= self.went_on_ms + STALE_ANSWERS_MS;
+            age_ms <= MAX_LIST_AGE_MS && is_after_stop
+        };
+        !was_stopped && list_age_ms.is_some_and(is_young)
+    }
+
     /// Records that an endpoint of a version is listed.
     pub fn record_listed(&mut self, service: &Name, version: &Name, now_ms: u64) {
         let history = self.service_mut(service);
@@ -176,6 +199,10 @@
         now_ms: u64,
     ) {
         self.is_list_read = true;
+        if now_ms.saturating_sub(self.observed_ms) > MAX_OBSERVATION_GAP_MS {
+            self.went_on_ms = now_ms;
+        }
+        self.observed_ms = now_ms;
         let listed: IndexSet<(&Name, &Name)> = listed.into_iter().collect();
         for (service, version) in &listed {
             self.record_listed(service, version, now_ms);
--- a/crates/core/tests/version_history.rs
+++ b/crates/core/tests/version_history.rs
@@ -24,6 +24,12 @@
     history.observe(versions.iter().map(|(service, version)| (service, version)), now_ms);
 }
 
+/// Observes these versions at intervals.
+fn watch(history: &mut VersionHistory, versions: &[&str], from_ms: u64, until_ms: u64) {
+    (from_ms..until_ms).step_by(250).for_each(|it| observe(history, versions, it));
+    observe(history, versions, until_ms);
+}
+
 /// An instance that started at [`START_MS`] and observed these versions then.
 fn started(versions: &[&str]) -> VersionHistory {
     let mut history = VersionHistory::new(1, START_MS);
@@ -35,7 +41,7 @@
 fn long_running(versions: &[&str]) -> VersionHistory {
     let mut history = started(versions);
     history.apply_records(Vec::new(), UNIX_MS, START_MS);
-    observe(&mut history, versions, LATER_MS);
+    watch(&mut history, versions, START_MS, LATER_MS);
     history
 }
 
@@ -79,7 +85,11 @@
 
 cases! {
     a_start_alone_tells_nothing: started(&["v1"]), at LATER_MS - 1 => SoleVersion::Unknown;
-    one_version_is_sole_once_it_was_seen_for_long: started(&["v1"]), at LATER_MS => one("v1");
+    one_version_is_sole_once_it_was_seen_for_long: {
+        let mut history = started(&["v1"]);
+        watch(&mut history, &["v1"], START_MS, LATER_MS);
+        history
+    }, at LATER_MS => one("v1");
     two_listed_versions_are_several: long_running(&["v1", "v2"]), at LATER_MS => SoleVersion::Several;
     a_version_without_a_name_counts: long_running(&["", "v1"]), at LATER_MS => SoleVersion::Several;
     the_first_start_of_a_deployment_knows_all: {
@@ -94,7 +104,7 @@
     }, at LATER_MS + VERSION_RETENTION_MS - 1 => SoleVersion::Several;
     a_version_that_left_long_ago_does_not: {
         let mut history = long_running(&["v1", "v2"]);
-        observe(&mut history, &["v2"], LATER_MS + 10);
+        watch(&mut history, &["v2"], LATER_MS + 10, LATER_MS + VERSION_RETENTION_MS);
         history
     }, at LATER_MS + VERSION_RETENTION_MS => one("v2");
     after_a_kill_of_all_one_version_is_sole:
@@ -147,12 +157,25 @@
 #[test]
 fn an_old_list_tells_nothing() {
     let history = long_running(&["v1"]);
-    assert_eq!(history.sole_version("tekstur", Some(3_000), LATER_MS), one("v1"));
-    assert_eq!(history.sole_version("tekstur", Some(3_001), LATER_MS), SoleVersion::Unknown);
+    assert_eq!(history.sole_version("tekstur", Some(1_500), LATER_MS), one("v1"));
+    assert_eq!(history.sole_version("tekstur", Some(1_501), LATER_MS), SoleVersion::Unknown);
     assert_eq!(history.sole_version("tekstur", None, LATER_MS), SoleVersion::Unknown);
     assert_eq!(history.sole_version("another", Some(0), LATER_MS), SoleVersion::Unknown);
 }
 
+#[test]
+fn a_process_that_was_stopped_waits_for_a_new_list() {
+    let mut history = long_running(&["v1"]);
+    let stopped_ms = LATER_MS + 1_001;
+    // Before the list is observed again, and after it, by an answer that waited for the process.
+    assert_eq!(sole(&history, stopped_ms), SoleVersion::Unknown);
+    observe(&mut history, &["v1"], stopped_ms);
+    assert_eq!(sole(&history, stopped_ms + 299), SoleVersion::Unknown);
+    observe(&mut history, &["v1"], stopped_ms + 500);
+    assert_eq!(history.sole_version("tekstur", Some(300), stopped_ms + 500), SoleVersion::Unknown);
+    assert_eq!(history.sole_version("tekstur", Some(200), stopped_ms + 500), one("v1"));
+}
+
 #[test]
 fn what_peers_tell_each_other_ends() {
     let (mut a, mut b) = (long_running(&["v1"]), started(&["v1", "v2"]));
