Do not take a start after a store's loss for the first one

After a kill of all and the return of the store from a copy without registrations and records, a start looked like the first one of the deployment: no stream seemed to have begun before, and with the old version gone from the list meanwhile its streams would have gone on at the new one. Only a store that never came back from a copy counts as that of a first start now.

--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -27,6 +27,8 @@
 const MAX_ROSTER_BACKOFF: Duration = Duration::from_secs(2);
 /// The first instances of a deployment start within this time, in milliseconds.
 const FIRST_START_SPAN_MS: u64 = 10_000;
+/// Era of a store that never came back from a copy.
+const FIRST_ERA: u64 = 1;
 /// Added to the number of listed instances that share the retry budget, for one that has started
 /// but is not in the list yet.
 const UNLISTED_INSTANCES: usize = 1;
@@ -47,7 +49,7 @@
 struct InstanceList {
     instances: Vec<(Peer, Registration)>,
     versions: Vec<(Name, VersionRecord)>,
-    /// Each key was written once.
+    /// Each key was written once, and the store never came back from a copy.
     is_unchanged: bool,
 }
 
@@ -110,7 +112,8 @@
 
 /// Decodes the entries of instances, and the records of software versions beside them.
 fn decode(snapshot: Snapshot) -> InstanceList {
-    let is_unchanged = snapshot.records.len() as u64 == snapshot.end;
+    let is_first_era = snapshot.era.is_none_or(|it| it <= FIRST_ERA);
+    let is_unchanged = is_first_era && snapshot.records.len() as u64 == snapshot.end;
     let mut list = InstanceList { instances: Vec::new(), versions: Vec::new(), is_unchanged };
     let mut records = snapshot.records;
     // Of two entries with the same address, the later one belongs to the running instance.
