--- a/crates/core/tests/replay/mod.rs
+++ b/crates/core/tests/replay/mod.rs
@@ -158,6 +158,7 @@
         slots: 128,
         leaving: false,
         incarnation: 1,
+        software_version: "v1".into(),
     }
 }
 
@@ -218,6 +219,7 @@
             service: &service,
             parts: &arrival.parts,
             tried: &[],
+            software_version: None,
             latency_sensitive: arrival.latency_sensitive,
             may_probe: false,
             random: arrival.random,
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
-    Response,
+    Response, Uri,
     body::{Body, Incoming},
     http::request as http_request,
 };
@@ -26,6 +26,7 @@
     response::{Refusal, ResponseBody},
     retry::choose_endpoint,
     suspects,
+    take_up::{TakeUp, VersionChoice, VersionSource, choose_version, unknown_version_refusal},
 };
 
 /// Time-out for reading the body of a request that is refused by its head.
@@ -86,23 +87,20 @@
     } else {
         Default::default()
     };
-    let target = route.target(uniform_hash(&id)).cloned();
-    let service = target.ok_or_else(|| refuse(Refusal::not_run(Reason::NoEndpoint)))?;
+    let take_up = TakeUp::read(&head.headers, names, &route);
+    let service = select_service(&route, &id, take_up.as_ref());
+    let service = service.ok_or_else(|| refuse(Refusal::not_run(Reason::NoEndpoint)))?;
     let rank = configuration.rank(&route, account.as_ref());
     let engine = configuration.service(&service).and_then(|it| it.engine);
     let latency_sensitive = engine.is_some_and(|it| route.is_latency_sensitive(&it));
     gateway.budgets().record_request(&service, clock::now_ms());
     let http_request::Parts { method, uri, version: http_version, mut headers, .. } = head;
     request::strip_headers(&mut headers, names, account.is_some());
-    let uri = match uri.path_and_query() {
-        Some(path) => path.clone().into(),
-        None => uri,
-    };
     let version = configuration.version;
     Ok(Request {
         id,
         method,
-        uri,
+        uri: path_and_query(uri),
         http_version,
         headers,
         body,
@@ -110,6 +108,7 @@
         route,
         service,
         parts,
+        take_up,
         rank,
         latency_sensitive,
         version,
@@ -118,11 +117,19 @@
     })
 }
 
+/// A URI without scheme and authority.
+fn path_and_query(uri: Uri) -> Uri {
+    match uri.path_and_query() {
+        Some(path) => path.clone().into(),
+        None => uri,
+    }
+}
+
 /// Chooses an endpoint and decides whether to admit the request.
 ///
 /// # Errors
-/// The request is quarantined, has no endpoint, or is expected to be late and should be retried
-/// after a delay.
+/// The request is quarantined, continues a stream of an unknown software version, has no endpoint, or
+/// is expected to be late and should be retried after a delay.
 pub(crate) fn choose_and_admit(
     gateway: &Gateway,
     request: &Request,
@@ -131,6 +138,7 @@
     if suspects::is_quarantined(gateway, request) {
         return Err(Refusal::not_run(Reason::Quarantined));
     }
+    require_version(gateway, request, progress)?;
     let chosen = choose_endpoint(gateway, request, progress)?;
     // Without prompt parts the prefill time is unknown, so that admission control cannot decide.
     if request.parts.is_empty() {
@@ -165,6 +173,36 @@
     }
 }
 
+/// Requires the software version that began the stream, if the caller takes one up.
+///
+/// # Errors
+/// That version is not known.
+fn require_version(
+    gateway: &Gateway,
+    request: &Request,
+    progress: &mut RequestProgress,
+) -> Result<(), Refusal> {
+    match choose_version(gateway, request) {
+        VersionChoice::Any => Ok(()),
+        VersionChoice::Required { version, source } => {
+            progress.required_version = Some(version);
+            progress.version_source = Some(source);
+            Ok(())
+        }
+        VersionChoice::Unknown { may_become_known } => {
+            progress.version_source = Some(VersionSource::Unknown);
+            Err(unknown_version_refusal(may_become_known))
+        }
+    }
+}
+
+/// The service that runs a request. Of those that share a route, the one that began a stream goes on with
+/// it.
+fn select_service(route: &Route, id: &Name, take_up: Option<&TakeUp>) -> Option<Name> {
+    let begun_as = take_up.and_then(|it| it.resumes.as_ref()).unwrap_or(id);
+    route.target(uniform_hash(begun_as)).cloned()
+}
+
 /// The route of a request and the account that its credential belongs to.
 fn authenticate(
     configuration: &Configuration,
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -14,7 +14,7 @@
 
 use tokio::sync::Notify;
 
-use crate::{clock, meters, request::Request};
+use crate::{clock, meters, request::Request, take_up::VersionSource};
 
 /// Log target that deployed log filters select; it is independent of the module path.
 const LOG_TARGET: &str = "tanagergauge_gateway::course";
@@ -34,6 +34,10 @@
     pub(crate) send_history: SendHistory,
     /// Endpoints of failed attempts.
     pub(crate) tried: SmallVec<[Name; 2]>,
+    /// Version of the software that has to continue the stream; `None` if any may begin it.
+    pub(crate) required_version: Option<Name>,
+    /// How it is known which version that is; `None` if the caller takes up no stream.
+    pub(crate) version_source: Option<VersionSource>,
     /// Endpoint for the next attempt, chosen at admission or in place of a silent one.
     pub(crate) preselected: Option<SelectedEndpoint>,
     /// The next attempt has been granted and taken from the retry budget.
@@ -76,6 +80,7 @@
             route = %request.route.name,
             %endpoint,
             %failure,
+            software_version = self.last_choice.as_ref().map(|it| &*it.software_version),
             expected_ms = self.last_choice.as_ref().map(|it| it.expected_ms as u64),
             at_ms = clock::elapsed_ms(request.arrived),
             left_ms = clock::as_ms(request.time_left()),
@@ -119,6 +124,9 @@
             %outcome,
             reason = reason.map(<&str>::from),
             endpoint = self.last_choice.as_ref().map(|it| &*it.id),
+            software_version = self.last_choice.as_ref().map(|it| &*it.software_version),
+            resumes = request.take_up.as_ref().map(|it| it.resumes.as_deref().unwrap_or("")),
+            version_source = self.version_source.map(<&str>::from),
             expected_ms = self.last_choice.as_ref().map(|it| it.expected_ms as u64),
             unread_tokens = self.last_choice.as_ref().map(|it| it.prefill_tokens),
             running = estimate.map(|it| it.running as u64),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,7 +36,7 @@
     resumption::{Resuming, Resumption, SilentUpstream, Upstream},
     retry::{self, OpenedResponse, open_response},
     silence::REPLACE_INTERVAL,
-    suspects,
+    suspects, take_up,
 };
 
 /// Time without an event after which a resumable stream counts as stalled, as a multiple of the route's
@@ -94,6 +94,8 @@
     timer: Pin<Box<Sleep>>,
     /// How often the stream was resumed.
     resumed: u32,
+    /// Events of a stream that may be resumed were forwarded.
+    has_begun: bool,
 }
 
 impl State {
@@ -122,6 +124,7 @@
             overdue_since: None,
             timer: Box::pin(sleep_until(request.deadline)),
             resumed: 0,
+            has_begun: false,
             request,
         };
         relay.reset_timer(relay.last_data);
@@ -160,7 +163,10 @@
                 }
                 State::Streaming(..) => match ready!(self.poll_upstream(cx)) {
                     Step::Bytes(bytes) if bytes.is_empty() => {}
-                    Step::Bytes(bytes) => return Poll::Ready(Some(Ok(bytes))),
+                    Step::Bytes(bytes) => {
+                        self.record_begun();
+                        return Poll::Ready(Some(Ok(bytes)));
+                    }
                     Step::End => return Poll::Ready(self.end(BodyEnd::Whole)),
                     Step::UnknownEnd => self.check_endpoint(),
                     Step::Failed(failure) => {
@@ -206,6 +212,19 @@
         }
     }
 
+    /// Records the software version at which a stream began whose first events are forwarded. It goes on
+    /// at that version only: what two versions write does not fit together.
+    fn record_begun(&mut self) {
+        let State::Streaming(upstream) = &self.state else { return };
+        if !self.events.can_resume() || self.has_begun {
+            return;
+        }
+        self.has_begun = true;
+        let version = &upstream.attempt.chosen.software_version;
+        take_up::record_begun(&self.gateway, &self.request, version);
+        self.progress.required_version.get_or_insert_with(|| version.clone());
+    }
+
     /// Ready if the caller's deadline has passed, or the stream has stalled and another endpoint can
     /// continue it.
     fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
@@ -345,8 +364,10 @@
         let (gateway, request) = (Arc::clone(&self.gateway), Arc::clone(&self.request));
         let mut progress = std::mem::take(&mut self.progress);
         let last_id = self.events.last_event_id().cloned();
+        let last_choice = progress.last_choice.as_ref();
         tracing::info!(
             request = %request.id,
+            software_version = last_choice.map(|it| &*it.software_version),
             events = self.events.event_count(),
             reason = %failure,
             silent_ms = clock::as_ms(self.last_data.elapsed()),
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -211,7 +211,8 @@
     }
     let mut tried = progress.tried.clone();
     tried.push(silent.id.clone());
-    let Ok(chosen) = select_endpoint(gateway, request, &tried) else { return false };
+    let version = progress.required_version.as_ref();
+    let Ok(chosen) = select_endpoint(gateway, request, &tried, version) else { return false };
     let mut history = progress.send_history;
     history.record_failure(Failure::Silent);
     let decision = try_retry(gateway, request, history);
@@ -252,12 +253,15 @@
     progress: &mut RequestProgress,
 ) -> Result<SelectedEndpoint, Refusal> {
     progress.list_age_ms = gateway.endpoints_age_ms().unwrap_or(u64::MAX);
-    let chosen = select_endpoint(gateway, request, &progress.tried);
+    let version = progress.required_version.as_ref();
+    let chosen = select_endpoint(gateway, request, &progress.tried, version);
     if let (Err(error), Some(failure)) = (&chosen, progress.last_failure) {
-        tracing::info!(request = %request.id, %failure, decision = %error, "request is not sent again");
+        let software_version = progress.required_version.as_deref();
+        tracing::info!(request = %request.id, %failure, decision = %error, software_version, "request is not sent again");
     }
     chosen.map_err(|error| match error {
         _ if progress.send_history.may_have_run > 0 => exhausted_refusal(progress),
+        NoEndpoint::NoneOfVersion => Refusal::not_run(Reason::VersionGone),
         NoEndpoint::NoneServing | NoEndpoint::Exhausted => {
             Refusal::not_run(Reason::NoEndpoint).retry_after_ms(SHORT_RETRY_MS)
         }
@@ -267,16 +271,18 @@
     })
 }
 
-/// Selects an endpoint other than those `tried`.
+/// Selects an endpoint other than those `tried`, of a software version if one is required.
 fn select_endpoint(
     gateway: &Gateway,
     request: &Request,
     tried: &[Name],
+    software_version: Option<&Name>,
 ) -> Result<SelectedEndpoint, NoEndpoint> {
     let query = EndpointQuery {
         service: &request.service,
         parts: &request.parts,
         tried,
+        software_version,
         latency_sensitive: request.latency_sensitive,
         may_probe: request.route.retry_safety.allows_resend(),
         random: uniform_hash(&request.id),
