Count the calls to the store about the list of instances

tanagergauge_store_calls_total had no samples of the topic `instances`, so that one could not see whether an instance still reads that list. Reads and writes of it are counted as the other topics' are.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -17,7 +17,7 @@
     gateway::Gateway,
     meters,
     request::{fraction, uniform_hash},
-    store::{Changes, Decoders, Store, StoreError, Topic},
+    store::{Changes, Decoders, Store, StoreError, Topic, result_label},
     view::StoreView,
 };
 
@@ -84,8 +84,8 @@
     }
 
     fn record_call<T>(&self, topic: Topic, result: &Result<T, StoreError>) {
-        let label = result.as_ref().map_or_else(|error| (*error).into(), |_| "ok");
-        meters::store_call(topic.into(), label);
+        let label = result_label(result);
+        meters::store_call(topic, label);
         tracing::debug!(%topic, result = label, "store call ended");
         match result {
             // The store responded, although it has no records at the requested offset.
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -113,6 +113,7 @@
 }
 
 /// Counts a call to the store.
-pub(crate) fn store_call(topic: &'static str, result: &'static str) {
+pub(crate) fn store_call(topic: Topic, result: &'static str) {
+    let topic: &'static str = topic.into();
     counter!("tanagergauge_store_calls_total", "topic" => topic, "result" => result).increment(1);
 }
--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -10,8 +10,9 @@
     backoff::Backoff,
     clock,
     gateway::Gateway,
+    meters,
     request::{fraction, uniform_hash},
-    store::{Snapshot, Store, Topic},
+    store::{Snapshot, Store, Topic, result_label},
 };
 
 /// Log target that deployed log filters select; it is independent of the module path.
@@ -55,7 +56,9 @@
     loop {
         gateway.suspects().expire(clock::unix_ms());
         let era = gateway.store_era();
-        match store.snapshot(Topic::Instances).await {
+        let result = store.snapshot(Topic::Instances).await;
+        meters::store_call(Topic::Instances, result_label(&result));
+        match result {
             Ok(snapshot) => {
                 let is_listed = snapshot.records.iter().any(|it| it.key == settings.instance);
                 update_roster(&gateway, snapshot);
@@ -86,7 +89,10 @@
 
 async fn register<S: Store>(gateway: &Gateway, store: &S, value: &[u8]) {
     let mut backoff = Backoff::new(INITIAL_ROSTER_BACKOFF, MAX_ROSTER_BACKOFF);
-    while let Err(error) = store.put(Topic::Instances, &gateway.settings.instance, value).await {
+    loop {
+        let result = store.put(Topic::Instances, &gateway.settings.instance, value).await;
+        meters::store_call(Topic::Instances, result_label(&result));
+        let Err(error) = result else { return };
         tracing::info!(target: LOG_TARGET, %error, "cannot write the entry of this instance; retrying");
         sleep(backoff.failed()).await;
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -61,6 +61,11 @@
     Unreadable,
 }
 
+/// How metrics and logs name the result of a call.
+pub(crate) fn result_label<T>(result: &Result<T, StoreError>) -> &'static str {
+    result.as_ref().map_or_else(|error| (*error).into(), |_| "ok")
+}
+
 /// A client of the deployment's store.
 pub trait Store: Send + Sync + 'static {
     /// Reads the newest record of each key.
