Keep no values of records that no instance can read

Instances took as much memory as another writer wrote: 113,708 KiB with 400 records of 256 KiB beside the configuration, where 65,536 is the bound, and with 400 such entries among the servers' they were not ready after 8 s, as the hub handed all of them to its members. Cause: the newest record of each key was kept in full, whether it could be decoded or not, and each record kept the whole response that it came with.

The view empties the value of an entry that cannot be decoded, so that members are told of an entry without content, which names no endpoint either; and only once, however often it is written.

--- a/crates/gateway/src/view/endpoint.rs
+++ b/crates/gateway/src/view/endpoint.rs
@@ -9,7 +9,7 @@
     endpoint_reports::ReportNumber,
 };
 
-use super::{ChangeReport, LOG_TARGET, StoreView};
+use super::{ChangeReport, LOG_TARGET, RecordEffect, StoreView};
 use crate::{
     clock,
     gateway::Gateway,
@@ -18,7 +18,7 @@
 };
 
 impl StoreView {
-    /// Applies an endpoint's record. Returns whether it says more than that the endpoint is alive.
+    /// Applies an endpoint's record.
     pub(super) fn apply_endpoint(
         &mut self,
         gateway: &Arc<Gateway>,
@@ -26,11 +26,11 @@
         key: &Name,
         value: Option<&Bytes>,
         report: ChangeReport,
-    ) -> bool {
+    ) -> RecordEffect {
         self.listed_again_until.remove(key);
         let Some(value) = value else {
             self.endpoint_removed(gateway, key);
-            return true;
+            return RecordEffect::Change;
         };
         self.missing_until.remove(key);
         match (decoders.endpoint)(value) {
@@ -51,13 +51,13 @@
                     }
                     ChangeReport::Each => {}
                 }
-                changed
+                if changed { RecordEffect::Change } else { RecordEffect::Heartbeat }
             }
             Err(error) => {
                 // An endpoint whose entry cannot be decoded is not used.
                 let known = gateway.balancer().remove(key);
                 tracing::warn!(target: LOG_TARGET, endpoint = %key, %error, known, "entry of an endpoint is passed over");
-                true
+                RecordEffect::Undecodable
             }
         }
     }
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -5,6 +5,7 @@
 
 use std::{cmp::Ordering, collections::HashMap, sync::Arc};
 
+use bytes::Bytes;
 use tanagergauge_core::{
     Name,
     compacted_log::{CatchUp, CatchUpPlan, CompactedLog, Record},
@@ -35,6 +36,17 @@
     Batch,
 }
 
+/// What a record means to those that are told of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RecordEffect {
+    /// It says something new.
+    Change,
+    /// It only says that an endpoint is alive.
+    Heartbeat,
+    /// It cannot be decoded, so that its value is of no use.
+    Undecodable,
+}
+
 /// The newest records of the configuration and endpoints topics.
 #[derive(Debug, Default)]
 pub(crate) struct StoreView {
@@ -237,15 +249,23 @@
         if !self.log_mut(topic).is_newer(key, *offset) {
             return;
         }
-        let is_change = match topic {
+        let effect = match topic {
             Topic::Configuration => {
                 self.apply_configuration(gateway, decoders, &record);
-                true
+                RecordEffect::Change
             }
             Topic::Endpoints => self.apply_endpoint(gateway, decoders, key, value.as_ref(), report),
             Topic::Instances => return,
         };
-        self.log_mut(topic).put(record, is_change);
+        let log = self.log_mut(topic);
+        match effect {
+            RecordEffect::Change => log.put(record, true),
+            RecordEffect::Heartbeat => log.put(record, false),
+            RecordEffect::Undecodable => {
+                let is_change = !log.value(&record.key).is_some_and(Bytes::is_empty);
+                log.put(Record { value: Some(Bytes::new()), ..record }, is_change);
+            }
+        }
     }
 
     /// Puts a configuration in force if its version is higher than the current one's.
