Read on at once while the store holds more than one read returns

Callers saw servers that were used seconds late, or after they had gone: after 100 entries of 256 KiB a new server was not used within 8 s. Cause: reads of the servers' entries are 0.7 s apart whatever they returned, and one returns 512 KiB at most, so that instances follow at 0.7 MB/s. A read tells where the topic ends; one that ends before is followed by the next without a pause.

The store is called more often only while an instance is behind.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -45,6 +45,15 @@
     health: Mutex<StoreHealth>,
 }
 
+/// How far a read got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Read {
+    /// To the end of the topic.
+    Current,
+    /// The store holds more, which is read at once.
+    Behind,
+}
+
 /// Whether the store responds to this instance.
 #[derive(Debug, Default)]
 struct StoreHealth {
@@ -172,9 +181,12 @@
             Some(from) => read_changes(follower, store, topic, from, wait).await,
         };
         match result {
-            Ok(()) => {
+            Ok(read) => {
                 backoff.reset();
-                next_read = last_read + interval;
+                next_read = match read {
+                    Read::Current => last_read + interval,
+                    Read::Behind => last_read,
+                };
                 if std::mem::take(&mut history_lost) {
                     next_read = next_read.max(Instant::now() + INITIAL_BACKOFF);
                 }
@@ -199,7 +211,7 @@
     store: &S,
     topic: Topic,
     history_lost: bool,
-) -> Result<(), StoreError> {
+) -> Result<Read, StoreError> {
     let result = store.snapshot(topic).await;
     follower.record_call(topic, &result);
     let mut snapshot = result?;
@@ -215,7 +227,7 @@
     }
     drop(view);
     follower.confirm(topic);
-    Ok(())
+    Ok(Read::Current)
 }
 
 async fn read_changes<S: Store>(
@@ -224,7 +236,7 @@
     topic: Topic,
     from: u64,
     wait: Duration,
-) -> Result<(), StoreError> {
+) -> Result<Read, StoreError> {
     let known_era = follower.view().era(topic);
     let result = store.changes(topic, from, wait).await.and_then(|changes| {
         match EraChange::of(known_era, changes.era) {
@@ -238,11 +250,12 @@
     tracing::debug!(%topic, from, records = changes.records.len(), era = changes.era, "changes read");
     // A peer may have told of another era meanwhile; the offset belongs to the one before.
     let changes = Changes { next: changes.next.max(from), era: Some(known_era), ..changes };
+    let read = if changes.has_more { Read::Behind } else { Read::Current };
     let (gateway, decoders) = (&follower.gateway, &follower.decoders);
     if follower.view().apply_changes(gateway, decoders, topic, changes) {
         follower.confirm(topic);
     }
-    Ok(())
+    Ok(read)
 }
 
 impl StoreFollower {
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -46,7 +46,7 @@
         let snapshot = Snapshot { records, end, era: Some(era) };
         view.apply_snapshot(gateway, decoders, Topic::Endpoints, snapshot)
     } else {
-        let changes = Changes { records, next: end, era: Some(era) };
+        let changes = Changes { records, next: end, has_more: false, era: Some(era) };
         view.apply_changes(gateway, decoders, Topic::Endpoints, changes)
     };
     view.apply_gone(gateway, decoders, &news.gone);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -37,6 +37,8 @@
     pub records: Vec<Record>,
     /// Offset at which to continue reading.
     pub next: u64,
+    /// The store holds more records from `next` on.
+    pub has_more: bool,
     /// Era of the store's history, if the store told it.
     pub era: Option<u64>,
 }
