Log an odd entry once, and few of thousands

Another writer that writes the same odd entry again and again took a log line each time (3 for 3), one that left thousands took one for each (4,000), and odd entries of instances took one at each read of the list, every 20 s or after a restore. At 8,192 lines the log's buffer drops others.

Whether the entry before could be decoded is known, as its value is empty: only the first gets a line. The list of instances is compared with the one before, by name and offset. Each read has 20 lines, and one more that counts the rest.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod gateway;
 mod header_names;
+mod line_limit;
 mod liveness;
 mod logs;
 mod meters;
--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -1,6 +1,6 @@
 //! This instance's entry in the store, and the list of all instances that comes from such entries.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use tanagergauge_core::{Name, roster::Peer};
@@ -10,6 +10,7 @@
     backoff::Backoff,
     clock,
     gateway::Gateway,
+    line_limit::LineLimit,
     meters,
     request::{fraction, uniform_hash},
     store::{Snapshot, Store, Topic, result_label},
@@ -37,6 +38,34 @@
     control_address: SocketAddr,
 }
 
+/// Entries that cannot be decoded. They are read again with each list, and logged once.
+#[derive(Debug, Default)]
+struct PassedOver {
+    /// Instance and offset of those in the list before.
+    logged: HashSet<(Name, u64)>,
+    /// The same of the list that is being read.
+    read: HashSet<(Name, u64)>,
+    line_limit: LineLimit,
+}
+
+impl PassedOver {
+    fn record(&mut self, instance: Name, offset: u64, error: &serde_json::Error) {
+        let entry = (instance, offset);
+        if !self.logged.contains(&entry) && self.line_limit.admit() {
+            let (instance, _) = &entry;
+            tracing::warn!(target: LOG_TARGET, %instance, %error, "skipping the entry of an instance");
+        }
+        self.read.insert(entry);
+    }
+
+    fn end_read(&mut self) {
+        self.logged = std::mem::take(&mut self.read);
+        if let Some(entries) = self.line_limit.end_read() {
+            tracing::warn!(target: LOG_TARGET, entries, "skipping more entries of instances");
+        }
+    }
+}
+
 /// Writes this instance's entry into the store and keeps the list of instances up to date.
 pub(super) async fn run<S: Store>(gateway: Arc<Gateway>, store: Arc<S>) {
     let settings = &gateway.settings;
@@ -52,6 +81,7 @@
         }
     };
     register(&gateway, &*store, &value).await;
+    let mut passed_over = PassedOver::default();
     let mut backoff = Backoff::new(INITIAL_ROSTER_BACKOFF, MAX_ROSTER_BACKOFF);
     loop {
         gateway.suspects().expire(clock::unix_ms());
@@ -61,7 +91,7 @@
         match result {
             Ok(snapshot) => {
                 let is_listed = snapshot.records.iter().any(|it| it.key == settings.instance);
-                update_roster(&gateway, snapshot);
+                update_roster(&gateway, snapshot, &mut passed_over);
                 backoff.reset();
                 if !is_listed {
                     tracing::info!(target: LOG_TARGET, era, "the entry of this instance is missing; writing it again");
@@ -98,7 +128,7 @@
     }
 }
 
-fn update_roster(gateway: &Gateway, snapshot: Snapshot) {
+fn update_roster(gateway: &Gateway, snapshot: Snapshot, passed_over: &mut PassedOver) {
     let mut records = snapshot.records;
     // Of two entries with the same address, the later one belongs to the running instance.
     records.sort_by_key(|it| it.offset);
@@ -111,11 +141,10 @@
                 zone: it.availability_zone,
                 control: it.control_address,
             }),
-            Err(error) => {
-                tracing::warn!(target: LOG_TARGET, instance = %record.key, %error, "skipping the entry of an instance");
-            }
+            Err(error) => passed_over.record(record.key, record.offset, &error),
         }
     }
+    passed_over.end_read();
     let known = roster.len();
     drop(roster);
     gateway.peers.set_list_read();
--- a/crates/gateway/src/view/endpoint.rs
+++ b/crates/gateway/src/view/endpoint.rs
@@ -56,12 +56,26 @@
             Err(error) => {
                 // An endpoint whose entry cannot be decoded is not used.
                 let known = gateway.balancer().remove(key);
-                tracing::warn!(target: LOG_TARGET, endpoint = %key, %error, known, "entry of an endpoint is passed over");
+                if !self.is_undecodable(key) && self.line_limit.admit() {
+                    tracing::warn!(target: LOG_TARGET, endpoint = %key, %error, known, "entry of an endpoint is passed over");
+                }
                 RecordEffect::Undecodable
             }
         }
     }
 
+    /// Whether the newest known entry of an endpoint cannot be decoded.
+    pub(super) fn is_undecodable(&self, key: &str) -> bool {
+        self.endpoints.value(key).is_some_and(Bytes::is_empty)
+    }
+
+    /// Ends the log lines of one read.
+    pub(super) fn end_lines(&mut self) {
+        if let Some(entries) = self.line_limit.end_read() {
+            tracing::warn!(target: LOG_TARGET, entries, "more entries of endpoints are passed over");
+        }
+    }
+
     /// Handles a deleted entry. In the grace period after a store outage the endpoint is kept until
     /// the period ends.
     pub(super) fn endpoint_removed(&mut self, gateway: &Arc<Gateway>, key: &Name) {
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -16,6 +16,7 @@
 use crate::{
     clock,
     gateway::Gateway,
+    line_limit::LineLimit,
     meters,
     peers::Position,
     store::{Changes, Decoders, Snapshot, Topic},
@@ -61,6 +62,7 @@
     /// Endpoints that were gone and that the store's copy lists, and when they are used if it still
     /// does.
     listed_again_until: HashMap<Name, u64>,
+    line_limit: LineLimit,
     /// Entries that disappear before this time are taken to have lapsed during a store outage.
     recovery_grace_until_ms: u64,
 }
@@ -149,6 +151,7 @@
                 tracing::warn!(%topic, era, known_era, end, known_end, records = count, "store came back from a copy");
                 meters::store_restored(topic);
                 self.apply_restored(gateway, decoders, topic, snapshot);
+                self.end_lines();
                 gateway.set_store_era(era);
                 return true;
             }
@@ -160,6 +163,7 @@
             Some(_) => ChangeReport::Each,
         };
         self.apply_newest(gateway, decoders, topic, snapshot, report);
+        self.end_lines();
         if known_end.is_none() && topic == Topic::Endpoints {
             tracing::info!(endpoints = count, end, era, "list of endpoints read");
         } else {
@@ -209,6 +213,7 @@
         for record in changes.records {
             self.apply(gateway, decoders, topic, record, ChangeReport::Each);
         }
+        self.end_lines();
         self.log_mut(topic).advance_to(changes.next);
         true
     }
@@ -257,13 +262,13 @@
             Topic::Endpoints => self.apply_endpoint(gateway, decoders, key, value.as_ref(), report),
             Topic::Instances => return,
         };
+        let is_repeated = self.is_undecodable(&record.key);
         let log = self.log_mut(topic);
         match effect {
             RecordEffect::Change => log.put(record, true),
             RecordEffect::Heartbeat => log.put(record, false),
             RecordEffect::Undecodable => {
-                let is_change = !log.value(&record.key).is_some_and(Bytes::is_empty);
-                log.put(Record { value: Some(Bytes::new()), ..record }, is_change);
+                log.put(Record { value: Some(Bytes::new()), ..record }, !is_repeated);
             }
         }
     }
