Bound the length of log lines about odd records

A decoder's error repeats what it read, so that a log line had 1,048,801 bytes for a state of 1 MB and 30,223 for one of 30,000 bytes; a service's name was logged in full. The text of a DecodeError is 300 bytes at most, of which the middle is left out.

--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -13,7 +13,7 @@
     line_limit::LineLimit,
     meters,
     request::{fraction, uniform_hash},
-    store::{Snapshot, Store, Topic, result_label},
+    store::{DecodeError, Snapshot, Store, Topic, result_label},
 };
 
 /// Log target that deployed log filters select; it is independent of the module path.
@@ -49,7 +49,7 @@
 }
 
 impl PassedOver {
-    fn record(&mut self, instance: Name, offset: u64, error: &serde_json::Error) {
+    fn record(&mut self, instance: Name, offset: u64, error: &DecodeError) {
         let entry = (instance, offset);
         if !self.logged.contains(&entry) && self.line_limit.admit() {
             let (instance, _) = &entry;
@@ -141,7 +141,7 @@
                 zone: it.availability_zone,
                 control: it.control_address,
             }),
-            Err(error) => passed_over.record(record.key, record.offset, &error),
+            Err(error) => passed_over.record(record.key, record.offset, &DecodeError::new(error)),
         }
     }
     passed_over.end_read();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -111,7 +111,23 @@
 
 /// Why a record cannot be decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DecodeError(pub String);
+pub struct DecodeError(String);
+
+/// Maximum length of the text of a [`DecodeError`], in bytes. Decoders repeat what they read.
+const MAX_ERROR_BYTES: usize = 300;
+
+impl DecodeError {
+    /// An error with this text, of which the middle is left out if it is long.
+    pub fn new(error: impl fmt::Display) -> DecodeError {
+        let text = error.to_string();
+        if text.len() <= MAX_ERROR_BYTES {
+            return DecodeError(text);
+        }
+        let begin = &text[..text.floor_char_boundary(MAX_ERROR_BYTES / 2)];
+        let end = &text[text.ceil_char_boundary(text.len() - MAX_ERROR_BYTES / 2)..];
+        DecodeError(format!("{begin} ... {end}"))
+    }
+}
 
 impl fmt::Display for DecodeError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
