--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -3,6 +3,7 @@
 use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use tokio::time::Instant;
 
 use crate::platform::unix_ms;
@@ -48,13 +49,23 @@
 #[derive(Serialize)]
 pub(crate) struct ListAnswer {
     as_of_unix_ms: u64,
-    entries: Vec<Entry>,
+    entries: Vec<ListItem>,
+}
+
+/// An item of the list.
+#[derive(Serialize)]
+#[serde(untagged)]
+enum ListItem {
+    Odd(Box<RawValue>),
+    Entry(Entry),
 }
 
 /// Versions of the list, oldest first, each with the moment it was set.
 #[derive(Default)]
 pub(crate) struct ListHistory {
     versions: VecDeque<(Instant, Vec<Entry>)>,
+    /// JSON of further items, which readers see at once, before the entries.
+    odd: Vec<Box<RawValue>>,
 }
 
 impl ListHistory {
@@ -63,6 +74,11 @@
         self.versions.push_back((Instant::now(), entries));
     }
 
+    /// Sets further items, which are JSON of any form.
+    pub(crate) fn set_odd(&mut self, items: Vec<Box<RawValue>>) {
+        self.odd = items;
+    }
+
     /// The list as last set.
     pub(crate) fn latest(&self) -> Vec<Entry> {
         self.versions.back().map(|it| it.1.clone()).unwrap_or_default()
@@ -77,6 +93,8 @@
         }
         let seen = self.versions.front().filter(|it| now - it.0 >= lag);
         let entries = seen.map(|it| it.1.clone()).unwrap_or_default();
+        let odd = self.odd.iter().cloned().map(ListItem::Odd);
+        let entries = odd.chain(entries.into_iter().map(ListItem::Entry)).collect();
         ListAnswer { as_of_unix_ms: unix_ms().saturating_sub(lag_ms), entries }
     }
 }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use hyper::{Method, Request, StatusCode};
 use serde::Serialize;
+use serde_json::value::RawValue;
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
@@ -176,6 +177,12 @@
         self.shared.state().list.set(entries);
     }
 
+    /// Sets further items of the list, which are JSON of any form. Panics on what is not JSON.
+    pub fn set_odd_entries(&self, items: impl IntoIterator<Item = String>) {
+        let raw = |it| RawValue::from_string(it).expect("an item is JSON");
+        self.shared.state().list.set_odd(items.into_iter().map(raw).collect());
+    }
+
     /// The list as last set.
     pub fn entries(&self) -> Vec<Entry> {
         self.shared.state().list.latest()
