Read the other entries of a list of which one is odd

An instance of tanagergauged whose platform lists one entry with a port out of range, an unknown kind or state, or a field of another type read no list any more, without a line in its log: it found no instance that was only listed, and heard of no endpoint that was only listed as leaving. Cause: the list was decoded as a whole. It is the cause of the instances that could not read a list with one odd key.

Each entry is decoded by itself; the number of those that cannot be is logged when it changes.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -22,7 +22,7 @@
     follower,
     journal::{Event, EventKind},
     meter::Meter,
-    platform::{List, ListKind, ListState, Platform},
+    platform::{List, ListItem, ListKind, ListState, Platform},
     rpc::RpcClient,
     shared::Shared,
     view::View,
@@ -124,6 +124,8 @@
     lag: Option<Lag>,
     /// When the list is read next, on this instance's clock.
     list_due_ms: u64,
+    /// Number of entries of the newest list that cannot be read.
+    unreadable_entries: usize,
     own: Arguments,
 }
 
@@ -150,7 +152,14 @@
         myself.send_message(Message::Round)?;
         // The handle is not needed: the interval ends with the actor.
         drop(myself.send_interval(Duration::from_millis(ROUND_MS), || Message::Round));
-        Ok(State { gossip, seeds, lag: None, list_due_ms: 0, own: arguments })
+        Ok(State {
+            gossip,
+            seeds,
+            lag: None,
+            list_due_ms: 0,
+            unreadable_entries: 0,
+            own: arguments,
+        })
     }
 
     async fn handle(
@@ -352,7 +361,12 @@
         let list_bytes = list.entries.len() as u64 * LIST_ENTRY_BYTES;
         self.list_due_ms = now.ms + LIST_MIN_MS.max(list_bytes * 1000 / LIST_BYTES_PER_S);
         let mut listed = Vec::new();
-        for entry in &list.entries {
+        let mut unreadable = 0;
+        for item in &list.entries {
+            let ListItem::Entry(entry) = item else {
+                unreadable += 1;
+                continue;
+            };
             match entry.kind {
                 ListKind::Instance => listed.extend(entry.control_address),
                 // Once an endpoint has left, only its own answers bring it back, so
@@ -366,6 +380,9 @@
                 ListKind::Endpoint => (),
             }
         }
+        if std::mem::replace(&mut self.unreadable_entries, unreadable) != unreadable {
+            tracing::warn!(unreadable, "entries of the list are passed over");
+        }
         for address in &listed {
             let mut members = self.gossip.facts().members().values();
             if !members.any(|it| it.control_address == *address) {
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, Response, body::Incoming, header::HOST};
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
 use tanagergauge_core::Name;
 use tokio::time::timeout;
 
@@ -85,7 +86,24 @@
     /// When the list was true, in milliseconds of Unix time.
     pub as_of_unix_ms: u64,
     /// Its entries.
-    pub entries: Vec<ListEntry>,
+    pub entries: Vec<ListItem>,
+}
+
+/// An item of the list. One that cannot be read must not hide the others.
+#[derive(Clone, Debug)]
+pub enum ListItem {
+    /// An entry.
+    Entry(ListEntry),
+    /// It cannot be read.
+    Unreadable,
+}
+
+impl<'de> Deserialize<'de> for ListItem {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<ListItem, D::Error> {
+        let json = <&RawValue>::deserialize(deserializer)?;
+        let entry = serde_json::from_str(json.get());
+        Ok(entry.map_or(ListItem::Unreadable, ListItem::Entry))
+    }
 }
 
 /// An instance or endpoint in the list.
