Sum loads and instances that peers report without an overflow

A report to the control address that says as many instances and requests as its fields hold ended the task that reports to peers, in builds that check overflows (attempt to add with overflow in load_reports.rs and peers/state.rs); others counted on from 0, which divides limits among too few. No instance sends such a report. The sums saturate.

--- a/crates/core/src/load_reports.rs
+++ b/crates/core/src/load_reports.rs
@@ -76,7 +76,7 @@
     let mut sums: HashMap<u32, Load> = HashMap::new();
     for it in reports {
         let sum = sums.entry(it.endpoint).or_default();
-        sum.running += it.load.running;
+        sum.running = sum.running.saturating_add(it.load.running);
         sum.prefill_tokens = sum.prefill_tokens.saturating_add(it.load.prefill_tokens);
     }
     sums.into_iter().map(|(endpoint, load)| EndpointLoad { endpoint, load }).collect()
@@ -131,7 +131,7 @@
 
     /// Number of instances in all recent reports, except those of `sender`.
     pub fn instances_excluding(&self, sender: Option<&Name>, now_ms: u64) -> u32 {
-        self.recent(sender, now_ms).map(|it| it.instances).sum()
+        self.recent(sender, now_ms).map(|it| it.instances).fold(0, u32::saturating_add)
     }
 
     /// Removes reports that are too old to count.
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -81,7 +81,8 @@
             load_reports::sum(members.chain(self.zones.loads_excluding(None, now_ms)).chain(local));
         let loads = load_reports::busiest(loads);
         let members = self.members.instances_excluding(Some(member), now_ms);
-        (loads, 1 + members + self.zones.instances_excluding(None, now_ms))
+        let zones = self.zones.instances_excluding(None, now_ms);
+        (loads, members.saturating_add(zones).saturating_add(1))
     }
 
     /// Loads to send to the hub of another zone, and the number of instances they cover: those of
@@ -94,7 +95,7 @@
         self.expire(now_ms);
         let loads = load_reports::sum(self.members.loads_excluding(None, now_ms).chain(local));
         let loads = load_reports::busiest(loads);
-        (loads, 1 + self.members.instances_excluding(None, now_ms))
+        (loads, self.members.instances_excluding(None, now_ms).saturating_add(1))
     }
 
     /// Loads for this instance as the hub, and the number of instances they cover: all others.
@@ -103,7 +104,7 @@
         let members = self.members.loads_excluding(None, now_ms);
         let loads = load_reports::sum(members.chain(self.zones.loads_excluding(None, now_ms)));
         let members = self.members.instances_excluding(None, now_ms);
-        (loads, members + self.zones.instances_excluding(None, now_ms))
+        (loads, members.saturating_add(self.zones.instances_excluding(None, now_ms)))
     }
 
     fn expire(&mut self, now_ms: u64) {
