Let requests through to endpoints that name a limit beyond all counting

An endpoint that named 1e300 requests a second got none while it did, and in builds that check overflows the caller's connection closed without an answer (attempt to add with overflow in endpoint_limits.rs). Cause: the number of a token did not fit into 64 bits. The same came from peers' reports, which could also tell limits that are no numbers, or below zero. Limits count as a million a second at most, and updates that name no number of requests are passed over.

--- a/crates/core/src/endpoint_limits.rs
+++ b/crates/core/src/endpoint_limits.rs
@@ -16,6 +16,8 @@
 const TOKEN_LIFETIME_MS: u64 = 1_000;
 /// Most tokens that are examined for one request.
 const MAX_TOKENS_EXAMINED: u64 = 256;
+/// Larger limits count as this one. Numbers of tokens must fit into 64 bits.
+const MAX_REQUESTS_PER_S: f64 = 1e6;
 /// Time after which a limit that no response has confirmed is dropped, in milliseconds.
 const MAX_AGE_MS: u64 = 8_000;
 /// Time after which instances are told that an unchanged limit is still named, in milliseconds.
@@ -111,7 +113,7 @@
             && now_ms.saturating_sub(entry.version_ms) >= CONFIRMATION_INTERVAL_MS;
         if changed || confirms {
             entry.requests_per_s = requests_per_s;
-            entry.version = unix_ms.max(entry.version + 1);
+            entry.version = unix_ms.max(entry.version.saturating_add(1));
             entry.version_ms = now_ms;
         }
         if requests_per_s.is_some() {
@@ -120,9 +122,12 @@
         changed
     }
 
-    /// Merges updates of a peer. `now_ms` is monotonic.
+    /// Merges updates of a peer, except those that name no number of requests. `now_ms` is monotonic.
     pub fn merge(&mut self, updates: Vec<LimitUpdate>, now_ms: u64) {
         for LimitUpdate { endpoint, requests_per_s, version } in updates {
+            if requests_per_s.is_some_and(|it| !(it.is_finite() && it >= 0.0)) {
+                continue;
+            }
             let entry = self.by_endpoint.entry(endpoint).or_insert(Entry {
                 requests_per_s: None,
                 version: 0,
@@ -164,7 +169,7 @@
     pub fn permission(&self, endpoint: &str, unix_ms: u64) -> Permission {
         let Some(entry) = self.by_endpoint.get(endpoint) else { return Permission::Unlimited };
         let Some(requests_per_s) = entry.requests_per_s else { return Permission::Unlimited };
-        let tokens_per_ms = requests_per_s / 1_000.0;
+        let tokens_per_ms = requests_per_s.min(MAX_REQUESTS_PER_S) / 1_000.0;
         let number_at = |at_ms: u64| (at_ms as f64 * tokens_per_ms) as u64;
         let time_of = |number: u64| (number as f64 / tokens_per_ms) as u64;
         let newest = number_at(unix_ms);
--- a/crates/core/tests/endpoint_limits.rs
+++ b/crates/core/tests/endpoint_limits.rs
@@ -197,3 +197,9 @@
     live.record(9, 21_000);
     assert_eq!(live.count(), 9);
 }
+
+/// An endpoint that names a limit beyond all counting is no endpoint that wants nothing.
+#[test]
+fn a_limit_beyond_all_counting_lets_requests_through() {
+    assert_eq!(send_all(&mut fleet(1, 1e300), 10, 1_000).len(), 100);
+}
