--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod gateway;
 mod header_names;
 mod idle;
+mod line_limit;
 mod liveness;
 mod logs;
 mod meters;
--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -1,6 +1,6 @@
 //! This instance's entry in the store, and the list of all instances that comes from such entries.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use tanagergauge_core::{Name, roster::Peer, version_history::VersionRecord};
@@ -10,9 +10,11 @@
     backoff::Backoff,
     clock,
     gateway::Gateway,
+    line_limit::LineLimit,
+    meters,
     peers::version_records,
     request::{fraction, uniform_hash},
-    store::{Snapshot, Store, Topic},
+    store::{DecodeError, Snapshot, Store, Topic, result_label},
 };
 
 /// Log target that deployed log filters select; it is independent of the module path.
@@ -53,6 +55,34 @@
     is_unchanged: bool,
 }
 
+/// Entries that cannot be decoded. They are read again with each list, and logged once.
+#[derive(Debug, Default)]
+struct PassedOver {
+    /// Instance and offset of those in the list before.
+    logged: HashSet<(Name, u64)>,
+    /// The same of the list that is being read.
+    read: HashSet<(Name, u64)>,
+    line_limit: LineLimit,
+}
+
+impl PassedOver {
+    fn record(&mut self, instance: Name, offset: u64, error: &DecodeError) {
+        let entry = (instance, offset);
+        if !self.logged.contains(&entry) && self.line_limit.admit() {
+            let (instance, _) = &entry;
+            tracing::warn!(target: LOG_TARGET, %instance, %error, "skipping the entry of an instance");
+        }
+        self.read.insert(entry);
+    }
+
+    fn end_read(&mut self) {
+        self.logged = std::mem::take(&mut self.read);
+        if let Some(entries) = self.line_limit.end_read() {
+            tracing::warn!(target: LOG_TARGET, entries, "skipping more entries of instances");
+        }
+    }
+}
+
 /// Writes this instance's entry into the store and keeps the list of instances up to date.
 pub(super) async fn run<S: Store>(gateway: Arc<Gateway>, store: Arc<S>) {
     let settings = &gateway.settings;
@@ -69,14 +99,17 @@
         }
     };
     register(&gateway, &*store, &value).await;
+    let mut passed_over = PassedOver::default();
     let mut backoff = Backoff::new(INITIAL_ROSTER_BACKOFF, MAX_ROSTER_BACKOFF);
     loop {
         gateway.suspects().expire(clock::unix_ms());
         let era = gateway.store_era();
-        match store.snapshot(Topic::Instances).await {
+        let result = store.snapshot(Topic::Instances).await;
+        meters::store_call(Topic::Instances, result_label(&result));
+        match result {
             Ok(snapshot) => {
                 let is_listed = snapshot.records.iter().any(|it| it.key == settings.instance);
-                apply(&gateway, decode(snapshot));
+                apply(&gateway, decode(snapshot, &mut passed_over));
                 backoff.reset();
                 if !is_listed {
                     tracing::info!(target: LOG_TARGET, era, "the entry of this instance is missing; writing it again");
@@ -104,14 +137,17 @@
 
 async fn register<S: Store>(gateway: &Gateway, store: &S, value: &[u8]) {
     let mut backoff = Backoff::new(INITIAL_ROSTER_BACKOFF, MAX_ROSTER_BACKOFF);
-    while let Err(error) = store.put(Topic::Instances, &gateway.settings.instance, value).await {
+    loop {
+        let result = store.put(Topic::Instances, &gateway.settings.instance, value).await;
+        meters::store_call(Topic::Instances, result_label(&result));
+        let Err(error) = result else { return };
         tracing::info!(target: LOG_TARGET, %error, "cannot write the entry of this instance; retrying");
         sleep(backoff.failed()).await;
     }
 }
 
 /// Decodes the entries of instances, and the records of software versions beside them.
-fn decode(snapshot: Snapshot) -> InstanceList {
+fn decode(snapshot: Snapshot, passed_over: &mut PassedOver) -> InstanceList {
     let is_first_era = snapshot.era.is_none_or(|it| it <= FIRST_ERA);
     let is_unchanged = is_first_era && snapshot.records.len() as u64 == snapshot.end;
     let mut list = InstanceList { instances: Vec::new(), versions: Vec::new(), is_unchanged };
@@ -129,11 +165,10 @@
                 let (zone, control) = (it.availability_zone.clone(), it.control_address);
                 list.instances.push((Peer { name: record.key, zone, control }, it));
             }
-            Err(error) => {
-                tracing::warn!(target: LOG_TARGET, instance = %record.key, %error, "skipping the entry of an instance");
-            }
+            Err(error) => passed_over.record(record.key, record.offset, &DecodeError::new(error)),
         }
     }
+    passed_over.end_read();
     list
 }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -37,6 +37,8 @@
     pub records: Vec<Record>,
     /// Offset at which to continue reading.
     pub next: u64,
+    /// The store holds more records from `next` on.
+    pub has_more: bool,
     /// Era of the store's history, if the store told it.
     pub era: Option<u64>,
 }
@@ -61,6 +63,11 @@
     Unreadable,
 }
 
+/// How metrics and logs name the result of a call.
+pub(crate) fn result_label<T>(result: &Result<T, StoreError>) -> &'static str {
+    result.as_ref().map_or_else(|error| (*error).into(), |_| "ok")
+}
+
 /// A client of the deployment's store.
 pub trait Store: Send + Sync + 'static {
     /// Reads the newest record of each key.
@@ -106,7 +113,23 @@
 
 /// Why a record cannot be decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DecodeError(pub String);
+pub struct DecodeError(String);
+
+/// Maximum length of the text of a [`DecodeError`], in bytes. Decoders repeat what they read.
+const MAX_ERROR_BYTES: usize = 300;
+
+impl DecodeError {
+    /// An error with this text, of which the middle is left out if it is long.
+    pub fn new(error: impl fmt::Display) -> DecodeError {
+        let text = error.to_string();
+        if text.len() <= MAX_ERROR_BYTES {
+            return DecodeError(text);
+        }
+        let begin = &text[..text.floor_char_boundary(MAX_ERROR_BYTES / 2)];
+        let end = &text[text.ceil_char_boundary(text.len() - MAX_ERROR_BYTES / 2)..];
+        DecodeError(format!("{begin} ... {end}"))
+    }
+}
 
 impl fmt::Display for DecodeError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/gateway/src/view/endpoint.rs
+++ b/crates/gateway/src/view/endpoint.rs
@@ -9,7 +9,7 @@
     endpoint_reports::ReportNumber,
 };
 
-use super::{ChangeReport, LOG_TARGET, StoreView};
+use super::{ChangeReport, LOG_TARGET, RecordEffect, StoreView};
 use crate::{
     clock,
     gateway::Gateway,
@@ -19,7 +19,7 @@
 };
 
 impl StoreView {
-    /// Applies an endpoint's record. Returns whether it says more than that the endpoint is alive.
+    /// Applies an endpoint's record.
     pub(super) fn apply_endpoint(
         &mut self,
         gateway: &Arc<Gateway>,
@@ -27,11 +27,11 @@
         key: &Name,
         value: Option<&Bytes>,
         report: ChangeReport,
-    ) -> bool {
+    ) -> RecordEffect {
         self.listed_again_until.remove(key);
         let Some(value) = value else {
             self.endpoint_removed(gateway, key);
-            return true;
+            return RecordEffect::Change;
         };
         self.missing_until.remove(key);
         match (decoders.endpoint)(value) {
@@ -56,17 +56,31 @@
                     }
                     ChangeReport::Each => {}
                 }
-                changed
+                if changed { RecordEffect::Change } else { RecordEffect::Heartbeat }
             }
             Err(error) => {
                 // An endpoint whose entry cannot be decoded is not used.
                 let known = gateway.balancer().remove(key);
-                tracing::warn!(target: LOG_TARGET, endpoint = %key, %error, known, "entry of an endpoint is passed over");
-                true
+                if !self.is_undecodable(key) && self.line_limit.admit() {
+                    tracing::warn!(target: LOG_TARGET, endpoint = %key, %error, known, "entry of an endpoint is passed over");
+                }
+                RecordEffect::Undecodable
             }
         }
     }
 
+    /// Whether the newest known entry of an endpoint cannot be decoded.
+    pub(super) fn is_undecodable(&self, key: &str) -> bool {
+        self.endpoints.value(key).is_some_and(Bytes::is_empty)
+    }
+
+    /// Ends the log lines of one read.
+    pub(super) fn end_lines(&mut self) {
+        if let Some(entries) = self.line_limit.end_read() {
+            tracing::warn!(target: LOG_TARGET, entries, "more entries of endpoints are passed over");
+        }
+    }
+
     /// Handles a deleted entry. In the grace period after a store outage the endpoint is kept until
     /// the period ends.
     pub(super) fn endpoint_removed(&mut self, gateway: &Arc<Gateway>, key: &Name) {
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -5,6 +5,7 @@
 
 use std::{cmp::Ordering, collections::HashMap, sync::Arc};
 
+use bytes::Bytes;
 use tanagergauge_core::{
     Name,
     compacted_log::{CatchUp, CatchUpPlan, CompactedLog, Record},
@@ -15,6 +16,7 @@
 use crate::{
     clock,
     gateway::Gateway,
+    line_limit::LineLimit,
     meters,
     peers::Position,
     store::{Changes, Decoders, Snapshot, Topic},
@@ -35,6 +37,17 @@
     Batch,
 }
 
+/// What a record means to those that are told of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RecordEffect {
+    /// It says something new.
+    Change,
+    /// It only says that an endpoint is alive.
+    Heartbeat,
+    /// It cannot be decoded, so that its value is of no use.
+    Undecodable,
+}
+
 /// The newest records of the configuration and endpoints topics.
 #[derive(Debug, Default)]
 pub(crate) struct StoreView {
@@ -49,6 +62,7 @@
     /// Endpoints that were gone and that the store's copy lists, and when they are used if it still
     /// does.
     listed_again_until: HashMap<Name, u64>,
+    line_limit: LineLimit,
     /// Entries that disappear before this time are taken to have lapsed during a store outage.
     recovery_grace_until_ms: u64,
 }
@@ -137,6 +151,7 @@
                 tracing::warn!(%topic, era, known_era, end, known_end, records = count, "store came back from a copy");
                 meters::store_restored(topic);
                 self.apply_restored(gateway, decoders, topic, snapshot);
+                self.end_lines();
                 gateway.set_store_era(era);
                 return true;
             }
@@ -148,6 +163,7 @@
             Some(_) => ChangeReport::Each,
         };
         self.apply_newest(gateway, decoders, topic, snapshot, report);
+        self.end_lines();
         if known_end.is_none() && topic == Topic::Endpoints {
             tracing::info!(endpoints = count, end, era, "list of endpoints read");
         } else {
@@ -197,6 +213,7 @@
         for record in changes.records {
             self.apply(gateway, decoders, topic, record, ChangeReport::Each);
         }
+        self.end_lines();
         self.log_mut(topic).advance_to(changes.next);
         true
     }
@@ -237,15 +254,23 @@
         if !self.log_mut(topic).is_newer(key, *offset) {
             return;
         }
-        let is_change = match topic {
+        let effect = match topic {
             Topic::Configuration => {
                 self.apply_configuration(gateway, decoders, &record);
-                true
+                RecordEffect::Change
             }
             Topic::Endpoints => self.apply_endpoint(gateway, decoders, key, value.as_ref(), report),
             Topic::Instances => return,
         };
-        self.log_mut(topic).put(record, is_change);
+        let is_repeated = self.is_undecodable(&record.key);
+        let log = self.log_mut(topic);
+        match effect {
+            RecordEffect::Change => log.put(record, true),
+            RecordEffect::Heartbeat => log.put(record, false),
+            RecordEffect::Undecodable => {
+                log.put(Record { value: Some(Bytes::new()), ..record }, !is_repeated);
+            }
+        }
     }
 
     /// Puts a configuration in force if its version is higher than the current one's.
