Log responses that do not bear the request's id

An endpoint that writes an earlier refusal once more shows in the log only as `refused` or `bad_answer`, as honest refusals and broken answers do. The line says which id the response had and whether the connection had carried a request before; answers with the right id log nothing more.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -229,6 +229,7 @@
     match upstream_response::validate(&head, request, &gateway.header_names) {
         Ok(()) => Ok((head, body)),
         Err(failure) => {
+            log_unnamed(gateway, request, attempt, &head, failure);
             if failure == Failure::Refused
                 && collect_body(body, Instant::now() + REFUSAL_BODY_TIMEOUT).await.is_ok()
             {
@@ -239,6 +240,29 @@
     }
 }
 
+/// Logs a response that is not passed on and does not bear the request's id.
+fn log_unnamed(
+    gateway: &Gateway,
+    request: &Request,
+    attempt: &Attempt,
+    head: &response::Parts,
+    failure: Failure,
+) {
+    let response_id = head.headers.get(&gateway.header_names.request_id);
+    if response_id.is_some_and(|it| it.as_bytes() == request.id.as_bytes()) {
+        return;
+    }
+    tracing::info!(
+        request = %request.id,
+        endpoint = %attempt.chosen.id,
+        status = head.status.as_u16(),
+        response_id = response_id.and_then(|it| it.to_str().ok()),
+        kept_connection = attempt.connection.as_ref().is_some_and(|it| it.used),
+        %failure,
+        "response without the request's id"
+    );
+}
+
 /// Records the limit that the endpoint named in a response, or that it named none. Refusals and
 /// errors need not name it, and a misdirected request was answered by another endpoint.
 fn record_limit(gateway: &Gateway, endpoint: &Name, head: &response::Parts) {
