Believe a refusal only if it is known to belong to the request

Callers were told 503, 'not run, try again', for requests that a server had run or was running, or such a request ran at a second server. Cause: a refusal without a request id, and any 421, counted as the answer to whatever request came next on the connection, so that a copy of an earlier refusal did, too. A copy with an id that its caller used again was indistinguishable from the new answer.

A response now has an origin: this request (the id is equal), the only request (no id, on a connection that carried none before), or unproven. An unproven one says nothing: not that the request did not run, no limit, and no other endpoint at the address; its connection is closed. A connection remembers which ids were refused on it, and carries no request with one of these again, so that an equal id proves that the refusal is new. Honest refusals are believed as before, also without an id on a new connection.

What is left: if the copy comes before the true answer, the caller of a request that may not run twice gets 502 although the server did answer; such a request is not repeated.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,8 +17,13 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    clock, connection::Connection, gateway::Gateway, liveness, request::Request, suspects,
-    upstream_response,
+    clock,
+    connection::Connection,
+    gateway::Gateway,
+    liveness,
+    request::Request,
+    suspects,
+    upstream_response::{self, Origin},
 };
 
 /// Largest body that is buffered, in bytes.
@@ -113,6 +118,14 @@
         self.return_connection();
     }
 
+    /// Keeps the connection after a refusal that was read completely.
+    fn finish_refused(&mut self, request_id: &str) {
+        if let Some(connection) = &mut self.connection {
+            connection.record_refused(request_id);
+        }
+        self.return_connection();
+    }
+
     fn return_connection(&mut self) {
         let Some(connection) = self.connection.take() else { return };
         if !self.closes_connection {
@@ -199,7 +212,8 @@
     deadline: Instant,
 ) -> Result<(response::Parts, Incoming), Failure> {
     let retryable = request.route.retry_safety.allows_resend();
-    let pooled = gateway.pool.take(&attempt.chosen.id, attempt.chosen.address, retryable);
+    let (id, address) = (&attempt.chosen.id, attempt.chosen.address);
+    let pooled = gateway.pool.take(id, address, retryable, Some(&request.id));
     let (mut connection, mut reused) = match pooled {
         Some(connection) => (connection, true),
         None => (connect(gateway, attempt).await?, false),
@@ -225,15 +239,18 @@
     attempt.connection = Some(connection);
     let (head, body) = response.into_parts();
     attempt.record_connection_headers(&head);
-    record_limit(gateway, &attempt.chosen.id, &head);
-    match upstream_response::validate(&head, request, &gateway.header_names) {
+    let origin = Origin::of(&head, request, &gateway.header_names, reused);
+    if origin != Origin::Unproven {
+        record_limit(gateway, &attempt.chosen.id, &head);
+    }
+    match upstream_response::validate(&head, origin, &gateway.header_names) {
         Ok(()) => Ok((head, body)),
         Err(failure) => {
             log_unnamed(gateway, request, attempt, &head, failure);
             if failure == Failure::Refused
                 && collect_body(body, Instant::now() + REFUSAL_BODY_TIMEOUT).await.is_ok()
             {
-                attempt.return_connection();
+                attempt.finish_refused(&request.id);
             }
             Err(failure)
         }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -8,8 +8,12 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
 
+use crate::request::uniform_hash;
+
 /// Largest read buffer, in bytes.
 const BUFFER_BYTES: usize = 32 << 10;
+/// Most refusals that a connection shows before another one is opened.
+const MAX_REFUSED_IDS: usize = 64;
 
 /// A connection that carries one request at a time. Dropping it closes it immediately.
 #[derive(Debug)]
@@ -18,6 +22,9 @@
     pub(crate) address: SocketAddr,
     /// Whether it has carried a request.
     pub(crate) used: bool,
+    /// Hashes of the ids of requests that the endpoint refused here. If one of these ids is used again,
+    /// a copy of the refusal could be taken for the new response.
+    refused_ids: Vec<u64>,
     /// When it was returned to the pool.
     pub(crate) idle_since: Instant,
     task: AbortHandle,
@@ -35,7 +42,25 @@
             }
         };
         let task = tokio::spawn(driver).abort_handle();
-        Ok(Connection { sender, address, used: false, idle_since: Instant::now(), task })
+        let idle_since = Instant::now();
+        Ok(Connection { sender, address, used: false, refused_ids: Vec::new(), idle_since, task })
+    }
+
+    /// Records that the endpoint refused a request on this connection.
+    pub(crate) fn record_refused(&mut self, request_id: &str) {
+        self.refused_ids.push(uniform_hash(request_id));
+    }
+
+    /// Whether a response to the request can be told from those to earlier requests.
+    pub(crate) fn can_carry(&self, request_id: &str) -> bool {
+        if request_id.is_empty() {
+            return false;
+        }
+        if self.refused_ids.is_empty() {
+            return true;
+        }
+        self.refused_ids.len() < MAX_REFUSED_IDS
+            && !self.refused_ids.contains(&uniform_hash(request_id))
     }
 }
 
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -47,7 +47,7 @@
             return None;
         }
     };
-    let mut connection = match gateway.pool.take(name, control, true) {
+    let mut connection = match gateway.pool.take(name, control, true, None) {
         Some(connection) => connection,
         None => timeout_at(deadline, gateway.pool.connect(control)).await.ok()?.ok()?,
     };
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -49,18 +49,21 @@
 
 impl Pool {
     /// Takes the most recently used idle connection that is fresh enough for the request, if any.
+    /// `request_id` is the id that the response will bear; `None` if responses bear none.
     pub(crate) fn take(
         &self,
         endpoint: &Name,
         address: SocketAddr,
         retryable: bool,
+        request_id: Option<&str>,
     ) -> Option<Connection> {
         let limit = if retryable { MAX_IDLE_TIME } else { MAX_IDLE_TIME_NON_RETRYABLE };
         let mut pool = self.lock();
         let idle = pool.get_mut(endpoint)?;
         idle.retain(|it| it.is_usable(address));
-        let fresh = |it: &Idle| it.connection.sender.is_ready() && it.age() < limit;
-        let at = idle.iter().rposition(fresh)?;
+        let is_fresh = |it: &Idle| it.connection.sender.is_ready() && it.age() < limit;
+        let can_carry = |it: &Idle| request_id.is_none_or(|id| it.connection.can_carry(id));
+        let at = idle.iter().rposition(|it| is_fresh(it) && can_carry(it))?;
         Some(idle.remove(at).connection)
     }
 
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -27,32 +27,57 @@
 const HOP_BY_HOP: [&str; 6] =
     ["connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding"];
 
+/// Whether a response is known to be that to the request which was sent last on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// It bears the request's id.
+    ThisRequest,
+    /// It bears no id, and its connection carried no other request.
+    OnlyRequest,
+    /// It may be that to another request, or to none.
+    Unproven,
+}
+
+impl Origin {
+    /// Finds out whose response a head begins. `is_kept_connection` is whether the connection carried
+    /// requests before this one.
+    pub(crate) fn of(
+        head: &response::Parts,
+        request: &Request,
+        names: &HeaderNames,
+        is_kept_connection: bool,
+    ) -> Origin {
+        match head.headers.get(&names.request_id) {
+            Some(id) if id.as_bytes() == request.id.as_bytes() => Origin::ThisRequest,
+            None if !is_kept_connection => Origin::OnlyRequest,
+            Some(_) | None => Origin::Unproven,
+        }
+    }
+}
+
 /// Checks that a response belongs to the request and may be delivered to its caller.
 ///
 /// # Errors
 /// Why it must not be delivered.
 pub(crate) fn validate(
     head: &response::Parts,
-    request: &Request,
+    origin: Origin,
     names: &HeaderNames,
 ) -> Result<(), Failure> {
+    // What belongs to another request says nothing about this one, which may run.
+    if origin == Origin::Unproven {
+        return Err(Failure::BadAnswer);
+    }
     // Another endpoint has taken over the address.
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Err(Failure::Replaced);
     }
-    let id = head.headers.get(&names.request_id);
-    let matches_request = id.is_some_and(|it| it.as_bytes() == request.id.as_bytes());
     if head.headers.contains_key(&names.not_run) {
-        // A response to another request says nothing about this one.
-        return Err(if matches_request || id.is_none() {
-            Failure::Refused
-        } else {
-            Failure::BadAnswer
-        });
+        return Err(Failure::Refused);
     }
     let lacks_receipt = !head.headers.contains_key(&names.receipt);
     let encoded = head.headers.contains_key(CONTENT_ENCODING);
-    if !matches_request
+    if origin != Origin::ThisRequest
         || encoded
         || (head.status.is_success() && lacks_receipt)
         || implies_not_run(head)
