Send nothing more to an endpoint that said that it leaves

Endpoints got requests after they had said in answers that they leave. Cause: an instance went by the store's entries alone, which say so later, not at all, or cannot be read meanwhile.

An answer that is known to be the request's and says so, of any status but 421, is now recorded for the process that the request was sent to: id and start. It is kept beside the list, so that neither an entry that still says `ready` nor one that lapsed and came back undoes it; a new start under the id, or another id at the address, is not concerned. Requests are chosen an endpoint without it from then on, at the first attempt, a retry and when a stream is resumed; if all endpoints leave, callers get 503 as without endpoints. Other instances are not told. The header is passed on to callers as before.

Where an entry does not tell the start, a restart cannot be recognized: the endpoint counts as leaving until ten minutes after its last answer that said so.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -19,6 +19,7 @@
     endpoint::{Distance, Endpoint, EndpointInfo, ServerLoad},
     endpoint_limits::{EndpointLimits, Permission},
     health::{Health, HealthState},
+    leaving_endpoints::LeavingEndpoints,
     load_reports::{EndpointLoad, Load, endpoint_hash},
     part_popularity::PartPopularity,
     prefix_affinity::{PrefixAffinity, mix64},
@@ -71,6 +72,8 @@
     peer_loads_ms: Option<u64>,
     /// Limits that endpoints named.
     limits: EndpointLimits,
+    /// Endpoints that said that they leave, listed or not.
+    leaving: LeavingEndpoints,
 }
 
 impl Balancer {
@@ -84,6 +87,7 @@
             popularity: HashMap::new(),
             peer_loads_ms: None,
             limits: EndpointLimits::default(),
+            leaving: LeavingEndpoints::default(),
         }
     }
 
@@ -169,7 +173,8 @@
     /// Orders the endpoints of a service by a hash. A reserved share takes them from the front,
     /// so that few endpoints become reserved or unreserved when the share or the list changes.
     fn assign_reservation_positions(&mut self, service: &Name) {
-        let serves = |it: &&mut Endpoint| it.info.service == *service && !it.info.leaving;
+        let leaving = &self.leaving;
+        let serves = |it: &&mut Endpoint| it.info.service == *service && !is_leaving(it, leaving);
         let mut order: Vec<&mut Endpoint> = self.endpoints.values_mut().filter(serves).collect();
         order.sort_by_key(|it| mix64(RESERVATION_SALT, it.seed));
         let count = order.len() as f64;
@@ -185,6 +190,30 @@
         }
     }
 
+    /// Records that the process of an endpoint which a request was sent to said that it is about to
+    /// stop: it gets no new requests, whatever its entry in the list says. Returns whether that is new.
+    pub fn record_leaving(&mut self, selected: &SelectedEndpoint, now_ms: u64) -> bool {
+        let is_new = self.leaving.record(&selected.id, selected.incarnation, now_ms);
+        let service = self.info(&selected.id).map(|it| it.service.clone());
+        if let Some(service) = service.filter(|_| is_new) {
+            self.assign_reservation_positions(&service);
+        }
+        is_new
+    }
+
+    /// Forgets what endpoints said long ago.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.limits.expire(now_ms);
+        let endpoints = &self.endpoints;
+        self.leaving.expire(|it| endpoints.get(it).map(|it| it.info.incarnation), now_ms);
+    }
+
+    /// What an endpoint announces; `None` if it is not in the list or is about to stop.
+    pub fn serving_info(&self, id: &str) -> Option<&EndpointInfo> {
+        let serving = self.endpoints.get(id).filter(|it| !is_leaving(it, &self.leaving));
+        serving.map(|it| &it.info)
+    }
+
     /// What an endpoint announces; `None` if it is not in the list.
     pub fn info(&self, id: &str) -> Option<&EndpointInfo> {
         self.endpoints.get(id).map(|it| &it.info)
@@ -210,7 +239,7 @@
         let mut counts = EndpointCounts::default();
         for it in self.endpoints.values() {
             let count = match it.health.state(now_ms) {
-                _ if it.info.leaving => &mut counts.leaving,
+                _ if is_leaving(it, &self.leaving) => &mut counts.leaving,
                 HealthState::Good => &mut counts.good,
                 HealthState::Probation => &mut counts.on_probation,
                 HealthState::Paused => &mut counts.paused,
@@ -222,7 +251,8 @@
 
     /// Number of endpoints of a service that are not leaving.
     pub fn serving(&self, service: &str) -> usize {
-        let serves = |it: &&Endpoint| &*it.info.service == service && !it.info.leaving;
+        let serves =
+            |it: &&Endpoint| &*it.info.service == service && !is_leaving(it, &self.leaving);
         self.endpoints.values().filter(serves).count()
     }
 
@@ -258,7 +288,8 @@
 
     /// Endpoints of the service that the request was not sent to yet.
     fn untried(&self, query: &EndpointQuery<'_>) -> Result<Vec<&Endpoint>, NoEndpoint> {
-        let serves = |it: &&Endpoint| it.info.service == *query.service && !it.info.leaving;
+        let serves =
+            |it: &&Endpoint| it.info.service == *query.service && !is_leaving(it, &self.leaving);
         let is_untried = |it: &&Endpoint| !query.tried.contains(&it.info.id);
         let untried: Vec<&Endpoint> =
             self.endpoints.values().filter(serves).filter(is_untried).collect();
@@ -370,12 +401,13 @@
             + load_ms
             + rank_ms
             + tie_ms;
-        let (id, address) = (it.info.id.clone(), it.info.address);
+        let EndpointInfo { ref id, address, incarnation, .. } = it.info;
         let latency_sensitive = query.latency_sensitive;
         let estimate = self.estimate(it, reserved_share, now_ms);
         let selected = SelectedEndpoint {
-            id,
+            id: id.clone(),
             address,
+            incarnation,
             expected_ms,
             prefill_tokens,
             latency_sensitive,
@@ -515,6 +547,11 @@
     }
 }
 
+/// Whether an endpoint is about to stop, by its entry or by what it said itself.
+fn is_leaving(it: &Endpoint, leaving: &LeavingEndpoints) -> bool {
+    it.info.leaving || leaving.contains(&it.info.id, it.info.incarnation)
+}
+
 /// What the costs of all candidates for a request depend on.
 struct CostContext {
     affinity: PrefixAffinity,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod key;
 pub mod key_table;
 pub mod lease;
+pub mod leaving_endpoints;
 pub mod length_predictor;
 pub mod live_instances;
 pub mod load_estimate;
--- a/crates/core/src/selection.rs
+++ b/crates/core/src/selection.rs
@@ -43,6 +43,8 @@
     pub id: Name,
     /// Where it accepts requests.
     pub address: SocketAddr,
+    /// When its process started, in milliseconds of Unix time; 0 if that is not known.
+    pub incarnation: u64,
     /// Expected time to the first byte, in milliseconds.
     pub expected_ms: f64,
     /// Prompt tokens that it is expected to prefill, because it has not cached them.
@@ -81,7 +83,7 @@
     pub on_probation: u32,
     /// Get no requests for a while after failures.
     pub paused: u32,
-    /// Announced that they are about to stop.
+    /// Announced that they are about to stop, in their entries or in a response.
     pub leaving: u32,
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -242,6 +242,7 @@
     let origin = Origin::of(&head, request, &gateway.header_names, reused);
     if origin != Origin::Unproven {
         record_limit(gateway, &attempt.chosen.id, &head);
+        record_leaving(gateway, &attempt.chosen, &head);
     }
     match upstream_response::validate(&head, origin, &gateway.header_names) {
         Ok(()) => Ok((head, body)),
@@ -296,6 +297,16 @@
     }
 }
 
+/// Records that the endpoint said that it is about to stop.
+fn record_leaving(gateway: &Gateway, chosen: &SelectedEndpoint, head: &response::Parts) {
+    if !upstream_response::is_leaving(head, &gateway.header_names.leaving) {
+        return;
+    }
+    if gateway.balancer().record_leaving(chosen, clock::now_ms()) {
+        tracing::info!(endpoint = %chosen.id, "endpoint says that it leaves");
+    }
+}
+
 async fn connect(gateway: &Gateway, attempt: &Attempt) -> Result<Connection, Failure> {
     gateway.pool.connect(attempt.chosen.address).await.map_err(|_| Failure::Unreachable)
 }
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -27,6 +27,8 @@
     /// Requests per second that an endpoint in need takes from all instances together, as a decimal
     /// number; absent while the endpoint has no limit.
     pub request_limit: HeaderName,
+    /// `1` in all responses of an endpoint that is about to stop.
+    pub leaving: HeaderName,
     /// Id of the last stream event that was delivered, for resuming a stream.
     pub last_event_id: HeaderName,
     /// Headers that are removed from callers' requests.
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// Updates by whom limits of endpoints are shared, and drops those that are not in force any more.
+/// Updates by whom limits of endpoints are shared, and drops what endpoints said long ago.
 fn update_limits(gateway: &Gateway, position: FleetPosition, now_ms: u64) {
     let mut balancer = gateway.balancer();
     let limits = balancer.limits_mut();
@@ -93,7 +93,7 @@
         let FleetPosition { rank, instances } = position;
         tracing::info!(rank, instances, "share of limits changed");
     }
-    limits.expire(now_ms);
+    balancer.expire(now_ms);
 }
 
 fn local_peer(gateway: &Gateway) -> Peer {
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -111,6 +111,13 @@
     (limit.is_finite() && limit >= 0.0).then_some(limit)
 }
 
+/// Whether the endpoint said that it is about to stop. A misdirected request was answered by another
+/// one.
+pub(crate) fn is_leaving(head: &response::Parts, name: &HeaderName) -> bool {
+    let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    !is_misdirected && head.headers.get(name).is_some_and(|it| it.as_bytes() == b"1")
+}
+
 /// Whether the endpoint closes the connection after the response.
 pub(crate) fn closes_connection(headers: &HeaderMap) -> bool {
     headers.get(CONNECTION).is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"))
