Send nothing to an endpoint for the time that it asked for

Endpoints that turned requests away with 503 and `Retry-After` got hundreds of requests in that time, and callers were told to come again after 0.4 s. Cause: an instance did not read the header.

A 503 that is known to be the request's, whether or not it says that the request did not run, now keeps this instance from choosing the endpoint until that time is over. It is kept beside the list for the process that the request was sent to, with what it said of leaving (`endpoint_notices`, before `leaving_endpoints`): the longest time counts, and a new start ends it. Seconds and fractions count, without a longest time; 0, negative numbers and dates do not, as a date depends on the endpoint's clock and the platform gives seconds. Health and limits are looked at afterwards, so that an endpoint on probation is not tried in that time. While all endpoints of a service have asked for time, callers get 503 with the reason `endpoint_backoff` and the time until the first takes requests, one hour at most. Other instances are not told. New: a gauge, a log line and the counter of the reason.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -18,8 +18,8 @@
     demand::Demand,
     endpoint::{Distance, Endpoint, EndpointInfo, ServerLoad},
     endpoint_limits::{EndpointLimits, Permission},
+    endpoint_notices::EndpointNotices,
     health::{Health, HealthState},
-    leaving_endpoints::LeavingEndpoints,
     load_reports::{EndpointLoad, Load, endpoint_hash},
     part_popularity::PartPopularity,
     prefix_affinity::{PrefixAffinity, mix64},
@@ -72,8 +72,8 @@
     peer_loads_ms: Option<u64>,
     /// Limits that endpoints named.
     limits: EndpointLimits,
-    /// Endpoints that said that they leave, listed or not.
-    leaving: LeavingEndpoints,
+    /// What endpoints told of requests to come, listed or not.
+    notices: EndpointNotices,
 }
 
 impl Balancer {
@@ -87,7 +87,7 @@
             popularity: HashMap::new(),
             peer_loads_ms: None,
             limits: EndpointLimits::default(),
-            leaving: LeavingEndpoints::default(),
+            notices: EndpointNotices::default(),
         }
     }
 
@@ -173,8 +173,8 @@
     /// Orders the endpoints of a service by a hash. A reserved share takes them from the front,
     /// so that few endpoints become reserved or unreserved when the share or the list changes.
     fn assign_reservation_positions(&mut self, service: &Name) {
-        let leaving = &self.leaving;
-        let serves = |it: &&mut Endpoint| it.info.service == *service && !is_leaving(it, leaving);
+        let notices = &self.notices;
+        let serves = |it: &&mut Endpoint| it.info.service == *service && !is_leaving(it, notices);
         let mut order: Vec<&mut Endpoint> = self.endpoints.values_mut().filter(serves).collect();
         order.sort_by_key(|it| mix64(RESERVATION_SALT, it.seed));
         let count = order.len() as f64;
@@ -193,7 +193,7 @@
     /// Records that the process of an endpoint which a request was sent to said that it is about to
     /// stop: it gets no new requests, whatever its entry in the list says. Returns whether that is new.
     pub fn record_leaving(&mut self, selected: &SelectedEndpoint, now_ms: u64) -> bool {
-        let is_new = self.leaving.record(&selected.id, selected.incarnation, now_ms);
+        let is_new = self.notices.record_leaving(&selected.id, selected.incarnation, now_ms);
         let service = self.info(&selected.id).map(|it| it.service.clone());
         if let Some(service) = service.filter(|_| is_new) {
             self.assign_reservation_positions(&service);
@@ -201,16 +201,48 @@
         is_new
     }
 
+    /// Records that the process of an endpoint which a request was sent to wants no requests from this
+    /// instance for a time. Returns whether it had not asked for that before.
+    pub fn record_backoff(
+        &mut self,
+        selected: &SelectedEndpoint,
+        duration_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let until_ms = now_ms.saturating_add(duration_ms);
+        self.notices.record_backoff(&selected.id, selected.incarnation, until_ms, now_ms)
+    }
+
+    /// Milliseconds until an endpoint of a service takes requests again; `None` if not all that serve
+    /// it have asked for time.
+    pub fn backoff_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
+        let serves =
+            |it: &&Endpoint| &*it.info.service == service && !is_leaving(it, &self.notices);
+        let serving = self.endpoints.values().filter(serves);
+        let shortest_ms = serving.map(|it| self.endpoint_backoff_ms(it, now_ms)).min();
+        shortest_ms.filter(|it| *it > 0)
+    }
+
+    /// Number of listed endpoints that want no requests from this instance now.
+    pub fn backoff_count(&self, now_ms: u64) -> usize {
+        let backs_off = |it: &&Endpoint| self.endpoint_backoff_ms(it, now_ms) > 0;
+        self.endpoints.values().filter(backs_off).count()
+    }
+
+    fn endpoint_backoff_ms(&self, it: &Endpoint, now_ms: u64) -> u64 {
+        self.notices.backoff_ms(&it.info.id, it.info.incarnation, now_ms)
+    }
+
     /// Forgets what endpoints said long ago.
     pub fn expire(&mut self, now_ms: u64) {
         self.limits.expire(now_ms);
         let endpoints = &self.endpoints;
-        self.leaving.expire(|it| endpoints.get(it).map(|it| it.info.incarnation), now_ms);
+        self.notices.expire(|it| endpoints.get(it).map(|it| it.info.incarnation), now_ms);
     }
 
     /// What an endpoint announces; `None` if it is not in the list or is about to stop.
     pub fn serving_info(&self, id: &str) -> Option<&EndpointInfo> {
-        let serving = self.endpoints.get(id).filter(|it| !is_leaving(it, &self.leaving));
+        let serving = self.endpoints.get(id).filter(|it| !is_leaving(it, &self.notices));
         serving.map(|it| &it.info)
     }
 
@@ -239,7 +271,7 @@
         let mut counts = EndpointCounts::default();
         for it in self.endpoints.values() {
             let count = match it.health.state(now_ms) {
-                _ if is_leaving(it, &self.leaving) => &mut counts.leaving,
+                _ if is_leaving(it, &self.notices) => &mut counts.leaving,
                 HealthState::Good => &mut counts.good,
                 HealthState::Probation => &mut counts.on_probation,
                 HealthState::Paused => &mut counts.paused,
@@ -252,7 +284,7 @@
     /// Number of endpoints of a service that are not leaving.
     pub fn serving(&self, service: &str) -> usize {
         let serves =
-            |it: &&Endpoint| &*it.info.service == service && !is_leaving(it, &self.leaving);
+            |it: &&Endpoint| &*it.info.service == service && !is_leaving(it, &self.notices);
         self.endpoints.values().filter(serves).count()
     }
 
@@ -265,7 +297,7 @@
         query: &EndpointQuery<'_>,
         now_ms: u64,
     ) -> Result<SelectedEndpoint, NoEndpoint> {
-        let untried = self.untried(query)?;
+        let untried = self.untried(query, now_ms)?;
         let candidates = self.candidates(query, &untried, now_ms)?;
         let reserved_share = self.reserved_share(query.service, &untried);
         // Latency-sensitive streams have their preferred engines among the reserved ones, all
@@ -287,30 +319,47 @@
     }
 
     /// Endpoints of the service that the request was not sent to yet.
-    fn untried(&self, query: &EndpointQuery<'_>) -> Result<Vec<&Endpoint>, NoEndpoint> {
+    fn untried(
+        &self,
+        query: &EndpointQuery<'_>,
+        now_ms: u64,
+    ) -> Result<Vec<&Endpoint>, NoEndpoint> {
         let serves =
-            |it: &&Endpoint| it.info.service == *query.service && !is_leaving(it, &self.leaving);
+            |it: &&Endpoint| it.info.service == *query.service && !is_leaving(it, &self.notices);
         let is_untried = |it: &&Endpoint| !query.tried.contains(&it.info.id);
         let untried: Vec<&Endpoint> =
             self.endpoints.values().filter(serves).filter(is_untried).collect();
         match (untried.is_empty(), query.tried.is_empty()) {
             (false, _) => Ok(untried),
             (true, true) => Err(NoEndpoint::NoneServing),
-            (true, false) => Err(NoEndpoint::Exhausted),
+            (true, false) => Err(self.exhausted(query, now_ms)),
         }
     }
 
-    /// Those of the endpoints that may get the request by their limits and health.
+    /// Why none of the endpoints that serve a request may get it.
+    fn exhausted(&self, query: &EndpointQuery<'_>, now_ms: u64) -> NoEndpoint {
+        match self.backoff_ms(query.service, now_ms) {
+            Some(ends_in_ms) => NoEndpoint::BackingOff { ends_in_ms },
+            None => NoEndpoint::Exhausted,
+        }
+    }
+
+    /// Those of the endpoints that may get the request by what they asked for, their limits and health.
     fn candidates<'a>(
         &self,
         query: &EndpointQuery<'_>,
         untried: &[&'a Endpoint],
         now_ms: u64,
     ) -> Result<Vec<&'a Endpoint>, NoEndpoint> {
+        let is_open = |it: &&&Endpoint| self.endpoint_backoff_ms(it, now_ms) == 0;
         let is_permitted = |it: &&&Endpoint| {
             self.limits.permission(&it.info.id, query.unix_ms) != Permission::Wait
         };
-        let permitted: Vec<&Endpoint> = untried.iter().filter(is_permitted).copied().collect();
+        let open: Vec<&Endpoint> = untried.iter().filter(is_open).copied().collect();
+        if open.is_empty() {
+            return Err(self.exhausted(query, now_ms));
+        }
+        let permitted: Vec<&Endpoint> = open.iter().filter(is_permitted).copied().collect();
         if permitted.is_empty() {
             return Err(NoEndpoint::Limited);
         }
@@ -548,8 +597,8 @@
 }
 
 /// Whether an endpoint is about to stop, by its entry or by what it said itself.
-fn is_leaving(it: &Endpoint, leaving: &LeavingEndpoints) -> bool {
-    it.info.leaving || leaving.contains(&it.info.id, it.info.incarnation)
+fn is_leaving(it: &Endpoint, notices: &EndpointNotices) -> bool {
+    it.info.leaving || notices.is_leaving(&it.info.id, it.info.incarnation)
 }
 
 /// What the costs of all candidates for a request depend on.
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -130,4 +130,6 @@
     TooManyStreams,
     /// All endpoints have named limits, which are used up.
     EndpointLimit,
+    /// All endpoints have asked for time.
+    EndpointBackoff,
 }
--- a/crates/core/src/selection.rs
+++ b/crates/core/src/selection.rs
@@ -95,6 +95,11 @@
     NoneServing,
     /// All endpoints are paused or were tried.
     Exhausted,
+    /// All endpoints that serve the request have asked for time.
+    BackingOff {
+        /// Milliseconds until the first of them takes requests again.
+        ends_in_ms: u64,
+    },
     /// The endpoints that are left have named limits, and this instance's share is used up.
     Limited,
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -243,6 +243,7 @@
     if origin != Origin::Unproven {
         record_limit(gateway, &attempt.chosen.id, &head);
         record_leaving(gateway, &attempt.chosen, &head);
+        record_backoff(gateway, &attempt.chosen, &head);
     }
     match upstream_response::validate(&head, origin, &gateway.header_names) {
         Ok(()) => Ok((head, body)),
@@ -307,6 +308,16 @@
     }
 }
 
+/// Records that the endpoint wants no more requests for a time.
+fn record_backoff(gateway: &Gateway, chosen: &SelectedEndpoint, head: &response::Parts) {
+    let Some(backoff_ms) = upstream_response::backoff_ms(head) else { return };
+    // The current time is rounded down.
+    let duration_ms = backoff_ms.saturating_add(1);
+    if gateway.balancer().record_backoff(chosen, duration_ms, clock::now_ms()) {
+        tracing::info!(endpoint = %chosen.id, backoff_ms, "endpoint asks for time");
+    }
+}
+
 async fn connect(gateway: &Gateway, attempt: &Attempt) -> Result<Connection, Failure> {
     gateway.pool.connect(attempt.chosen.address).await.map_err(|_| Failure::Unreachable)
 }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -59,6 +59,7 @@
     let (counts, peer_loads_age_ms) = {
         let balancer = gateway.balancer();
         gauge!("tanagergauge_endpoint_limits").set(as_f64(balancer.limits().len()));
+        gauge!("tanagergauge_endpoint_backoffs").set(as_f64(balancer.backoff_count(now_ms)));
         (balancer.endpoint_counts(now_ms), balancer.peer_loads_age_ms(now_ms))
     };
     gauge!("tanagergauge_others_age_seconds")
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -32,6 +32,10 @@
 /// Minimum of that time-out, before the addition for lateness.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Longest time that callers are told to wait, in milliseconds. Endpoints that asked for longer may
+/// have started anew by then.
+const MAX_RETRY_AFTER_MS: u64 = 3_600_000;
+
 /// A response whose head and first bytes have been received.
 pub(crate) struct OpenedResponse {
     pub(crate) head: response::Parts,
@@ -153,7 +157,7 @@
             return Err(deadline_refusal(progress));
         }
         if !may_attempt(gateway, request, progress) {
-            return Err(exhausted_refusal(progress));
+            return Err(exhausted_refusal(gateway, request, progress));
         }
         let chosen = match progress.preselected.take() {
             Some(chosen) => chosen,
@@ -230,10 +234,14 @@
         tracing::info!(request = %request.id, %failure, decision = %error, "request is not sent again");
     }
     chosen.map_err(|error| match error {
-        _ if progress.send_history.may_have_run > 0 => exhausted_refusal(progress),
+        _ if progress.send_history.may_have_run > 0 => {
+            exhausted_refusal(gateway, request, progress)
+        }
         NoEndpoint::NoneServing | NoEndpoint::Exhausted => {
             Refusal::not_run(Reason::NoEndpoint).retry_after_ms(SHORT_RETRY_MS)
         }
+        NoEndpoint::BackingOff { ends_in_ms } => Refusal::not_run(Reason::EndpointBackoff)
+            .retry_after_ms(ends_in_ms.min(MAX_RETRY_AFTER_MS)),
         NoEndpoint::Limited => {
             Refusal::not_run(Reason::EndpointLimit).retry_after_ms(SHORT_RETRY_MS)
         }
@@ -272,7 +280,7 @@
 }
 
 /// The refusal of a request that may not be retried any more.
-fn exhausted_refusal(progress: &RequestProgress) -> Refusal {
+fn exhausted_refusal(gateway: &Gateway, request: &Request, progress: &RequestProgress) -> Refusal {
     let reason = match progress.last_failure {
         Some(Failure::Unreachable) => Reason::ConnectFailed,
         Some(Failure::Refused | Failure::Replaced) => Reason::EndpointRefused,
@@ -284,5 +292,7 @@
     if progress.send_history.may_have_run > 0 {
         return Refusal::unknown(reason);
     }
-    Refusal::not_run(reason).retry_after_ms(SHORT_RETRY_MS)
+    let backoff_ms = gateway.balancer().backoff_ms(&request.service, clock::now_ms());
+    let after_ms = backoff_ms.map_or(SHORT_RETRY_MS, |it| it.min(MAX_RETRY_AFTER_MS));
+    Refusal::not_run(reason).retry_after_ms(after_ms)
 }
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -6,7 +6,7 @@
     HeaderMap, Method, StatusCode,
     header::{
         CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue,
-        TRANSFER_ENCODING,
+        RETRY_AFTER, TRANSFER_ENCODING,
     },
     http::response,
 };
@@ -118,6 +118,16 @@
     !is_misdirected && head.headers.get(name).is_some_and(|it| it.as_bytes() == b"1")
 }
 
+/// Milliseconds for which the endpoint wants no more requests, if it asked for time. A date is passed
+/// over, since it depends on the endpoint's clock.
+pub(crate) fn backoff_ms(head: &response::Parts) -> Option<u64> {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let seconds: f64 = head.headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    (seconds.is_finite() && seconds > 0.0).then_some((seconds * 1000.0).ceil() as u64)
+}
+
 /// Whether the endpoint closes the connection after the response.
 pub(crate) fn closes_connection(headers: &HeaderMap) -> bool {
     headers.get(CONNECTION).is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"))
