Test that a refusal on a kept connection proves nothing to the daemon, failing

An endpoint answers one request, and writes a refusal without an id when the next one comes on the same connection. Both tests fail here: the caller is told `not-run` although the endpoint got the request.

--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -231,6 +231,36 @@
     )*};
 }
 
+/// Each test has an endpoint answer one request and then write a refusal without an id on the kept
+/// connection, where it may be that of another request.
+macro_rules! stale_refusals {
+    ($($name:ident: $refusal:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let first = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+            let service = RawEndpoint::start_kept(&[first, $refusal]).await.unwrap();
+            let options = FleetOptions {
+                services: 0,
+                more_services: vec![service.address()],
+                ..FleetOptions::default()
+            };
+            let fleet = Fleet::start(BINARY, options).await.unwrap();
+            let answer = send(&fleet, &lookup("cue")).await;
+            assert_eq!(answer.outcome(), Some(Outcome::Answered), "{answer:?}");
+            let answer = send(&fleet, &lookup("cue")).await;
+            assert_eq!(answer.outcome(), Some(Outcome::Unknown), "{answer:?}");
+            assert_eq!(answer.reason(), Some(Reason::WrongAnswer), "{answer:?}");
+        }
+    )*};
+}
+
+stale_refusals! {
+    a_503_without_an_id_on_a_kept_connection:
+        b"HTTP/1.1 503 S\r\nx-not-run: true\r\ncontent-length: 2\r\n\r\n{}";
+    a_429_without_an_id_on_a_kept_connection:
+        b"HTTP/1.1 429 S\r\nx-not-run: true\r\ncontent-length: 2\r\n\r\n{}";
+}
+
 no_answer_at_all! {
     an_answer_whose_end_cannot_be_told: b"HTTP/1.1 200 OK\r\n\r\n{}", BadAnswer;
     an_answer_with_a_coding_that_does_not_tell_its_end:
--- a/crates/testenv/src/endpoint.rs
+++ b/crates/testenv/src/endpoint.rs
@@ -13,24 +13,33 @@
 
 const REQUEST_BYTES: usize = 64 * 1024;
 
-/// An endpoint that answers the first bytes of each connection with the same
-/// bytes, whatever it was asked, and closes it.
+/// An endpoint that answers the bytes of each connection with the same bytes, whatever it was
+/// asked, and closes it.
 pub struct RawEndpoint {
     address: SocketAddr,
     task: JoinHandle<()>,
 }
 
 impl RawEndpoint {
-    /// Starts it on a free port of loopback.
+    /// Starts one that gives the same answer on each connection, on a free port of loopback.
     ///
     /// # Errors
     /// When no port can be had.
     pub async fn start(answer: &'static [u8]) -> io::Result<RawEndpoint> {
+        RawEndpoint::start_kept(&[answer]).await
+    }
+
+    /// The same with an answer for each request on a connection.
+    ///
+    /// # Errors
+    /// When no port can be had.
+    pub async fn start_kept(answers: &[&'static [u8]]) -> io::Result<RawEndpoint> {
+        let answers = answers.to_vec();
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(answer_once(stream, answer));
+                tokio::spawn(answer_each(stream, answers.clone()));
             }
         });
         Ok(RawEndpoint { address, task })
@@ -48,9 +57,12 @@
     }
 }
 
-async fn answer_once(mut stream: TcpStream, answer: &[u8]) {
+async fn answer_each(mut stream: TcpStream, answers: Vec<&'static [u8]>) {
     let mut request = vec![0; REQUEST_BYTES];
-    if matches!(stream.read(&mut request).await, Ok(1..)) {
+    for answer in answers {
+        if !matches!(stream.read(&mut request).await, Ok(1..)) {
+            return;
+        }
         // The caller may have closed the connection.
         let _ = stream.write_all(answer).await;
     }
