Believe a refusal on a kept connection only with its echo, in the daemon

The caller of a request that an endpoint had got was told `not-run`. Cause: an answer without an echo counted as the request's own, and so did a refusal that the endpoint wrote for another request on a kept connection. There a refusal now has to echo id and attempt; without, it is `wrong_answer` and says nothing. On a new connection nothing changes. Requests that may not run twice always had a new connection, and one that showed a refusal was never kept, so that they were not concerned: the fault was in what callers of repeatable requests were told.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     headers,
-    pool::{Connection, Pool},
+    pool::{Connection, Pool, PooledConnection},
 };
 
 /// Longest wait for an endpoint to accept a connection.
@@ -105,7 +105,8 @@
     attempt: u32,
     head_timeout: Duration,
 ) -> Result<Answer, Failure> {
-    let mut connection = connect(pool, address, call.repeatable).await?;
+    let pooled = connect(pool, address, call.repeatable).await?;
+    let PooledConnection { mut connection, is_kept } = pooled;
     let request = request(call, address, attempt);
     let sent = timeout(head_timeout, connection.try_send_request(request)).await;
     let response = match sent {
@@ -114,7 +115,7 @@
         Err(_) => return Err(Failure::after_send(Reason::EndpointTimeout)),
     };
     let leaving = headers::is_true(response.headers(), &headers::LEAVING);
-    match head_failure(&response, call, attempt) {
+    match head_failure(&response, call, attempt, is_kept) {
         Some(failure) => Err(Failure { leaving, ..failure }),
         None => Ok(Answer { response, leaving, connection, address }),
     }
@@ -124,12 +125,13 @@
     pool: &Pool,
     address: SocketAddr,
     repeatable: bool,
-) -> Result<Connection, Failure> {
+) -> Result<PooledConnection, Failure> {
     // A stale connection leaves it open whether a request was read; a new one does not.
     let connected = if repeatable {
-        pool.get(address, CONNECT_TIMEOUT).await
+        pool.get_pooled(address, CONNECT_TIMEOUT).await
     } else {
-        Pool::connect(address, CONNECT_TIMEOUT).await
+        let connected = Pool::connect(address, CONNECT_TIMEOUT).await;
+        connected.map(|connection| PooledConnection { connection, is_kept: false })
     };
     connected.map_err(|_| Failure::not_sent(Reason::ConnectFailed))
 }
@@ -144,7 +146,12 @@
 }
 
 /// Checks that the head belongs to this attempt and is no refusal.
-fn head_failure(response: &Response<Incoming>, call: &Call, attempt: u32) -> Option<Failure> {
+fn head_failure(
+    response: &Response<Incoming>,
+    call: &Call,
+    attempt: u32,
+    is_kept_connection: bool,
+) -> Option<Failure> {
     let map = response.headers();
     let is_ours = echoes(map, &headers::REQUEST_ID, &call.request_id)
         && echoes(map, &headers::ATTEMPT, &attempt.to_string());
@@ -156,6 +163,12 @@
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
     );
     if is_refusal && headers::is_true(map, &headers::NOT_RUN) {
+        let names_attempt =
+            map.contains_key(&headers::REQUEST_ID) && map.contains_key(&headers::ATTEMPT);
+        if is_kept_connection && !names_attempt {
+            // It may be a copy of the refusal of another request.
+            return Some(Failure::after_send(Reason::WrongAnswer));
+        }
         return Some(Failure::not_sent(Reason::EndpointRefused));
     }
     None
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -38,6 +38,15 @@
     meter: Option<Arc<Meter>>,
 }
 
+/// A connection for a request.
+#[derive(Debug)]
+pub struct PooledConnection {
+    /// The connection.
+    pub connection: Connection,
+    /// Whether it has carried other requests.
+    pub is_kept: bool,
+}
+
 /// A connection could not be opened, so no byte was sent.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectFailed;
@@ -57,10 +66,23 @@
         address: SocketAddr,
         connect_timeout: Duration,
     ) -> Result<Connection, ConnectFailed> {
-        match self.take_idle(address) {
-            Some(connection) => Ok(connection),
-            None => self.connect_metered(address, connect_timeout).await,
+        self.get_pooled(address, connect_timeout).await.map(|it| it.connection)
+    }
+
+    /// The same, with whether the connection was idle here.
+    ///
+    /// # Errors
+    /// The endpoint did not accept within `connect_timeout`.
+    pub async fn get_pooled(
+        &self,
+        address: SocketAddr,
+        connect_timeout: Duration,
+    ) -> Result<PooledConnection, ConnectFailed> {
+        if let Some(connection) = self.take_idle(address) {
+            return Ok(PooledConnection { connection, is_kept: true });
         }
+        let connection = self.connect_metered(address, connect_timeout).await?;
+        Ok(PooledConnection { connection, is_kept: false })
     }
 
     /// A new connection, for requests that must not meet a stale one.
