--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod edit;
 pub mod endpoint;
 pub mod endpoint_limits;
+pub mod endpoint_notices;
 pub mod endpoint_performance;
 pub mod endpoint_pool;
 pub mod endpoint_reports;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -134,4 +134,6 @@
     UnknownVersion,
     /// No endpoint of the software version that began the stream is left.
     VersionGone,
+    /// All endpoints have asked for time.
+    EndpointBackoff,
 }
--- a/crates/core/src/selection.rs
+++ b/crates/core/src/selection.rs
@@ -47,6 +47,8 @@
     pub address: SocketAddr,
     /// Version of its software when it was selected.
     pub software_version: Name,
+    /// When its process started, in milliseconds of Unix time; 0 if that is not known.
+    pub incarnation: u64,
     /// Expected time to the first byte, in milliseconds.
     pub expected_ms: f64,
     /// Prompt tokens that it is expected to prefill, because it has not cached them.
@@ -85,7 +87,7 @@
     pub on_probation: u32,
     /// Get no requests for a while after failures.
     pub paused: u32,
-    /// Announced that they are about to stop.
+    /// Announced that they are about to stop, in their entries or in a response.
     pub leaving: u32,
 }
 
@@ -99,6 +101,11 @@
     Exhausted,
     /// Endpoints serve, but none of the required software version.
     NoneOfVersion,
+    /// All endpoints that serve the request have asked for time.
+    BackingOff {
+        /// Milliseconds until the first of them takes requests again.
+        ends_in_ms: u64,
+    },
     /// The endpoints that are left have named limits, and this instance's share is used up.
     Limited,
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,8 +20,13 @@
 };
 
 use crate::{
-    clock, connection::Connection, gateway::Gateway, liveness, request::Request, suspects,
-    upstream_response,
+    clock,
+    connection::Connection,
+    gateway::Gateway,
+    liveness,
+    request::Request,
+    suspects,
+    upstream_response::{self, Origin},
 };
 
 /// Largest body that is buffered, in bytes.
@@ -116,6 +121,14 @@
         self.return_connection();
     }
 
+    /// Keeps the connection after a refusal that was read completely.
+    fn finish_refused(&mut self, request_id: &str) {
+        if let Some(connection) = &mut self.connection {
+            connection.record_refused(request_id);
+        }
+        self.return_connection();
+    }
+
     fn return_connection(&mut self) {
         let Some(connection) = self.connection.take() else { return };
         if !self.closes_connection {
@@ -218,7 +231,8 @@
     sent: &Notify,
 ) -> Result<(response::Parts, Incoming), Failure> {
     let retryable = request.route.retry_safety.allows_resend();
-    let pooled = gateway.pool.take(&attempt.chosen.id, attempt.chosen.address, retryable);
+    let (id, address) = (&attempt.chosen.id, attempt.chosen.address);
+    let pooled = gateway.pool.take(id, address, retryable, Some(&request.id));
     let (mut connection, mut reused) = match pooled {
         Some(connection) => (connection, true),
         None => (connect(gateway, attempt).await?, false),
@@ -243,20 +257,49 @@
     attempt.connection = Some(connection);
     let (head, body) = response.into_parts();
     attempt.record_connection_headers(&head);
-    record_limit(gateway, &attempt.chosen.id, &head);
-    match upstream_response::validate(&head, request, &gateway.header_names) {
+    let origin = Origin::of(&head, request, &gateway.header_names, reused);
+    if origin != Origin::Unproven {
+        record_limit(gateway, &attempt.chosen.id, &head);
+        record_leaving(gateway, &attempt.chosen, &head);
+        record_backoff(gateway, &attempt.chosen, &head);
+    }
+    match upstream_response::validate(&head, origin, &gateway.header_names) {
         Ok(()) => Ok((head, body)),
         Err(failure) => {
+            log_unnamed(gateway, request, attempt, &head, failure);
             if failure == Failure::Refused
                 && collect_body(body, Instant::now() + REFUSAL_BODY_TIMEOUT).await.is_ok()
             {
-                attempt.return_connection();
+                attempt.finish_refused(&request.id);
             }
             Err(failure)
         }
     }
 }
 
+/// Logs a response that is not passed on and does not bear the request's id.
+fn log_unnamed(
+    gateway: &Gateway,
+    request: &Request,
+    attempt: &Attempt,
+    head: &response::Parts,
+    failure: Failure,
+) {
+    let response_id = head.headers.get(&gateway.header_names.request_id);
+    if response_id.is_some_and(|it| it.as_bytes() == request.id.as_bytes()) {
+        return;
+    }
+    tracing::info!(
+        request = %request.id,
+        endpoint = %attempt.chosen.id,
+        status = head.status.as_u16(),
+        response_id = response_id.and_then(|it| it.to_str().ok()),
+        kept_connection = attempt.connection.as_ref().is_some_and(|it| it.used),
+        %failure,
+        "response without the request's id"
+    );
+}
+
 /// Records the limit that the endpoint named in a response, or that it named none. Refusals and
 /// errors need not name it, and a misdirected request was answered by another endpoint.
 fn record_limit(gateway: &Gateway, endpoint: &Name, head: &response::Parts) {
@@ -273,6 +316,26 @@
     }
 }
 
+/// Records that the endpoint said that it is about to stop.
+fn record_leaving(gateway: &Gateway, chosen: &SelectedEndpoint, head: &response::Parts) {
+    if !upstream_response::is_leaving(head, &gateway.header_names.leaving) {
+        return;
+    }
+    if gateway.balancer().record_leaving(chosen, clock::now_ms()) {
+        tracing::info!(endpoint = %chosen.id, "endpoint says that it leaves");
+    }
+}
+
+/// Records that the endpoint wants no more requests for a time.
+fn record_backoff(gateway: &Gateway, chosen: &SelectedEndpoint, head: &response::Parts) {
+    let Some(backoff_ms) = upstream_response::backoff_ms(head) else { return };
+    // The current time is rounded down.
+    let duration_ms = backoff_ms.saturating_add(1);
+    if gateway.balancer().record_backoff(chosen, duration_ms, clock::now_ms()) {
+        tracing::info!(endpoint = %chosen.id, backoff_ms, "endpoint asks for time");
+    }
+}
+
 async fn connect(gateway: &Gateway, attempt: &Attempt) -> Result<Connection, Failure> {
     gateway.pool.connect(attempt.chosen.address).await.map_err(|_| Failure::Unreachable)
 }
