Let an older list of endpoints bring back none that a newer one lacks

Cause: an instance that starts asks the store and its peers at once. Where the store's list came first, and a peer's older one after it, the endpoint that had left in between was unknown, so that its old record counted as new; the records that follow never mention it again. Class: what was deleted before the first list leaves no trace, so that late news of it looks new.

Why this works: a list that is complete up to an offset says that other keys were deleted before it; the log keeps that offset, and takes older records of unknown keys for what they are.

--- a/crates/core/src/compacted_log.rs
+++ b/crates/core/src/compacted_log.rs
@@ -104,11 +104,18 @@
         self.end = self.end.max(end);
     }
 
+    /// Notes that a list of all live keys before `end` was applied: others were deleted.
+    pub fn mark_complete_to(&mut self, end: u64) {
+        self.advance_to(end);
+        self.forgotten_to = self.forgotten_to.max(end);
+    }
+
     /// Whether a record is newer than what is known of its key.
     pub fn is_newer(&self, key: &str, offset: u64) -> bool {
         match self.entries.get(key) {
             Some(entry) => offset > entry.offset,
-            // An older record may be of a key that was deleted and its tombstone forgotten.
+            // An older record may be of a key that was deleted, and its tombstone forgotten or never
+            // read.
             None => offset >= self.forgotten_to,
         }
     }
--- a/crates/core/tests/compacted_log.rs
+++ b/crates/core/tests/compacted_log.rs
@@ -129,3 +129,19 @@
     };
     assert_eq!((changes.records.len(), changes.is_complete), (1, false));
 }
+
+/// A peer's list that is older than the own one must not bring a key back that was deleted in between.
+#[test]
+fn an_older_list_does_not_restore_a_key_that_a_newer_one_lacks() {
+    let mut log = CompactedLog::default();
+    apply(&mut log, record(1, Some(1), 3));
+    log.mark_complete_to(10);
+    for older in [record(2, Some(2), 5), record(3, None, 9)] {
+        apply(&mut log, older);
+    }
+    log.mark_complete_to(8);
+    assert_eq!(live(&log).len(), 1, "only the key of the newer list");
+    apply(&mut log, record(2, Some(2), 10));
+    assert_eq!(live(&log).len(), 2, "what is written later counts");
+    assert_eq!(log.end(), Some(10));
+}
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -195,7 +195,7 @@
         for record in records.into_iter().chain(deletions) {
             self.apply(gateway, decoders, topic, record, report);
         }
-        self.log_mut(topic).advance_to(end);
+        self.log_mut(topic).mark_complete_to(end);
     }
 
     /// Applies records that follow those that are known. Returns false if they are of another era,
