--- a/review/standins/src/stream_client.rs
+++ b/review/standins/src/stream_client.rs
@@ -91,6 +91,16 @@
     stream
 }
 
+/// Opens a channel to the platform, which forwards it as soon as the instance accepts it.
+async fn connect(front: SocketAddr) -> TcpStream {
+    loop {
+        if let Ok(channel) = TcpStream::connect(front).await {
+            return channel;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 impl Stream {
     async fn attempt(
         &mut self,
@@ -112,7 +122,7 @@
         front: SocketAddr,
         left: Duration,
     ) -> Option<Try> {
-        let channel = timeout(CONNECT_TIME, TcpStream::connect(front)).await.ok()?.ok()?;
+        let channel = timeout(CONNECT_TIME, connect(front)).await.ok()?;
         let opened = hyper::client::conn::http1::handshake(TokioIo::new(channel)).await;
         let (mut sender, driver) = opened.ok()?;
         let driver = tokio::spawn(driver);
