Break off responses without framing whose endpoint is gone, whatever its entry says

Cause: after an end without framing a refused connection meant a crash only for an endpoint that is listed and not leaving. The kernel ends the connections of a killed process in order, whatever the process had planned. Beside it: the host of a process that is being killed accepts connections until the listening socket is closed, so that the check found the endpoint there.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -169,6 +169,7 @@
     match result {
         Ok((head, body)) => {
             let framing = upstream_response::framing(&head, &request.method);
+            attempt.closes_connection |= !framing.shows_end();
             Ok(UpstreamResponse { head, framing, body, attempt })
         }
         Err(failure) => {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,8 +20,7 @@
     attempt::{self, Attempt, UpstreamResponse},
     clock,
     gateway::Gateway,
-    liveness::{self, EndpointState},
-    meters,
+    liveness, meters,
     progress::RequestProgress,
     relay::Relay,
     request::Request,
@@ -173,7 +172,7 @@
     let rest = rest.map_err(|it| body_failed(request, progress, &attempt, it))?;
     let bytes = if rest.is_empty() { first } else { Bytes::from([first, rest].concat()) };
     let end = upstream_response::body_end(&head, framing, &bytes);
-    if end == BodyEnd::BrokenOff {
+    if is_broken_off(gateway, request, &attempt, end).await {
         return Err(body_failed(request, progress, &attempt, Failure::Broke));
     }
     attempt.finish();
@@ -207,15 +206,11 @@
             }
         };
         let end = upstream_response::body_end(&head, framing, &bytes);
-        if end == BodyEnd::BrokenOff {
-            record_failure(gateway, request, progress, &attempt, Failure::Broke);
-            continue;
-        }
         attempt.record_first_byte(upstream_response::reported_load(
             &head.headers,
             &gateway.header_names.load,
         ));
-        if has_crashed_since(gateway, request, &attempt, &head, end).await {
+        if is_broken_off(gateway, request, &attempt, end).await {
             record_failure(gateway, request, progress, &attempt, Failure::Broke);
             continue;
         }
@@ -227,7 +222,7 @@
                 health.record_failure(clock::now_ms());
             }
             attempt.finish_failed();
-        } else if end == BodyEnd::Whole || !head.status.is_success() {
+        } else {
             attempt.finish();
             if head.status.is_success() {
                 suspects::record_success(gateway, request);
@@ -242,19 +237,20 @@
     }
 }
 
-/// Whether the endpoint of a success response that may be whole or not has crashed, so that it is not.
-async fn has_crashed_since(
+/// Whether a response that may be whole or not counts as broken off, as its endpoint is gone.
+async fn is_broken_off(
     gateway: &Gateway,
     request: &Request,
     attempt: &Attempt,
-    head: &response::Parts,
     end: BodyEnd,
 ) -> bool {
-    if !head.status.is_success() || end != BodyEnd::Unknown {
-        return false;
+    match end {
+        BodyEnd::Whole => false,
+        BodyEnd::BrokenOff => true,
+        BodyEnd::Unknown => {
+            !liveness::is_present_after_end(gateway, request, &attempt.chosen).await
+        }
     }
-    let endpoint = liveness::check_after_unknown_end(gateway, request, &attempt.chosen).await;
-    endpoint == EndpointState::Crashed
 }
 
 /// Records that an error response broke off; returns the refusal for the caller.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,7 +30,7 @@
     attempt::{self, Attempt},
     clock,
     gateway::Gateway,
-    liveness::{self, EndpointState},
+    liveness,
     progress::RequestProgress,
     request::Request,
     resumption::{Resuming, Resumption, SilentUpstream, Upstream},
@@ -58,7 +58,7 @@
 impl std::error::Error for BodyAborted {}
 
 /// Checks whether the endpoint of a stream is still there.
-type EndpointCheck = Pin<Box<dyn Future<Output = EndpointState> + Send>>;
+type EndpointCheck = Pin<Box<dyn Future<Output = bool> + Send>>;
 
 enum State {
     /// An endpoint streams the response.
@@ -144,8 +144,8 @@
                     return Poll::Ready(Some(Err(BodyAborted)));
                 }
                 State::CheckingEndpoint(_, check) => {
-                    let endpoint = ready!(check.as_mut().poll(cx));
-                    if let Some(ended) = self.endpoint_checked(endpoint, cx) {
+                    let is_present = ready!(check.as_mut().poll(cx));
+                    if let Some(ended) = self.endpoint_checked(is_present, cx) {
                         return ended;
                     }
                 }
@@ -293,12 +293,10 @@
     /// Ends a stream whose connection brought no error; returns the bytes that were held back.
     fn end(&mut self, end: BodyEnd) -> Option<Result<Bytes, BodyAborted>> {
         let state = std::mem::replace(&mut self.state, State::Done);
-        if end == BodyEnd::Whole {
-            if let State::Streaming(upstream) = state {
-                upstream.attempt.finish();
-            }
-            suspects::record_success(&self.gateway, &self.request);
+        if let State::Streaming(upstream) | State::CheckingEndpoint(upstream, _) = state {
+            upstream.attempt.finish();
         }
+        suspects::record_success(&self.gateway, &self.request);
         self.progress.upstream_end = Some(end);
         self.report(Outcome::Answered, None);
         let rest = self.events.take_rest();
@@ -312,7 +310,7 @@
         let (gateway, request) = (Arc::clone(&self.gateway), Arc::clone(&self.request));
         let chosen = upstream.attempt.chosen.clone();
         let check =
-            async move { liveness::check_after_unknown_end(&gateway, &request, &chosen).await };
+            async move { liveness::is_present_after_end(&gateway, &request, &chosen).await };
         self.state = State::CheckingEndpoint(upstream, Box::pin(check));
     }
 
@@ -320,16 +318,13 @@
     /// whole; else it is resumed, if that is possible.
     fn endpoint_checked(
         &mut self,
-        endpoint: EndpointState,
+        is_present: bool,
         cx: &mut Context<'_>,
     ) -> Option<Poll<Option<Result<Bytes, BodyAborted>>>> {
-        let is_told_end = self.caller_is_told_end();
-        let failure = match endpoint {
-            EndpointState::Crashed => Failure::Broke,
-            EndpointState::Present if is_told_end => Failure::EndUnknown,
-            EndpointState::Present => return Some(Poll::Ready(self.end(BodyEnd::Unknown))),
-            EndpointState::Unknown => Failure::EndUnknown,
-        };
+        if is_present && !self.caller_is_told_end() {
+            return Some(Poll::Ready(self.end(BodyEnd::Unknown)));
+        }
+        let failure = if is_present { Failure::EndUnknown } else { Failure::Broke };
         self.handle_failure(failure, cx);
         matches!(self.state, State::Aborting).then_some(Poll::Pending)
     }
@@ -355,7 +350,7 @@
             let asking = self.resume(failure);
             self.state = State::Resuming(Resumption { failure, asking, silent });
         } else {
-            self.give_up(failure, cx);
+            self.abort(failure, cx);
         }
     }
 
@@ -399,7 +394,7 @@
     ) {
         let Some(SilentUpstream { upstream, .. }) = silent else {
             self.events.discard_partial();
-            self.give_up(failure, cx);
+            self.abort(failure, cx);
             return;
         };
         tracing::info!(
@@ -414,16 +409,6 @@
         self.reset_timer(Instant::now());
     }
 
-    /// Ends a stream that nobody continues. One that may be whole is not aborted, unless its caller was
-    /// promised to be told.
-    fn give_up(&mut self, failure: Failure, cx: &mut Context<'_>) {
-        if failure == Failure::EndUnknown && !self.caller_is_told_end() {
-            self.end(BodyEnd::Unknown);
-        } else {
-            self.abort(failure, cx);
-        }
-    }
-
     /// Whether the framing of the response to the caller says where it ends.
     fn caller_is_told_end(&self) -> bool {
         self.progress.caller_framing.is_none_or(Framing::shows_end)
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -84,11 +84,11 @@
         let reading = first_bytes(&mut body);
         let first = match silence::wait(gateway, request, progress, &attempt.chosen, reading).await
         {
-            Ok(Some(first)) if !is_cut_before_events(&head, framing, &first) => first,
             // Nothing may be left to send after the event at which the stream goes on.
-            Ok(Some(_)) if last_event_id.is_some() => {
-                record_failure(gateway, request, progress, &attempt, Failure::EndUnknown);
-                continue;
+            Ok(Some(first))
+                if last_event_id.is_some() || !is_cut_before_events(&head, framing, &first) =>
+            {
+                first
             }
             Ok(_) => {
                 record_failure(gateway, request, progress, &attempt, Failure::Broke);
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -84,11 +84,6 @@
     }
 }
 
-/// Whether an endpoint is listed and not about to stop, so that its end is a crash.
-pub(crate) fn is_serving(gateway: &Gateway, endpoint: &str) -> bool {
-    gateway.balancer().serving_info(endpoint).is_some()
-}
-
 /// Names the running process of an endpoint, which may start again under the endpoint's name.
 /// `None` if the endpoint left the list or is about to stop: its end is no crash.
 fn serving_process(gateway: &Gateway, endpoint: &Name) -> Option<Name> {
