Keep a silent endpoint until another one has begun to continue its stream

Cause: the endpoint was given up on the sending of a request, not on its acceptance. Nobody listened to it meanwhile either, so that a stream whose endpoint went on waited for one that had not begun.

Why it works: the silent endpoint stays connected until another one has begun a success response and for 150 ms after, and whoever sends a complete event first goes on. A dead endpoint is replaced after the same time as before.

--- a/crates/core/src/send_history.rs
+++ b/crates/core/src/send_history.rs
@@ -22,6 +22,8 @@
     Failed,
     /// The response may be whole or not, and only another endpoint can tell.
     EndUnknown,
+    /// Another endpoint went on with the request first.
+    Superseded,
 }
 
 impl Failure {
@@ -33,7 +35,8 @@
             | Failure::Silent
             | Failure::BadAnswer
             | Failure::Failed
-            | Failure::EndUnknown => true,
+            | Failure::EndUnknown
+            | Failure::Superseded => true,
         }
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,10 +14,7 @@
     Name, body_end::Framing, endpoint::ServerLoad, selection::SelectedEndpoint,
     send_history::Failure,
 };
-use tokio::{
-    sync::Notify,
-    time::{Instant, timeout_at},
-};
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
     clock,
@@ -153,7 +150,6 @@
 }
 
 /// Sends a request to the chosen endpoint and waits for the head of the response, without a time limit.
-/// Notifies `sent` when a connection is there and the request is about to be written.
 ///
 /// # Errors
 /// How the attempt failed; the failure has been recorded.
@@ -162,10 +158,9 @@
     request: &Request,
     chosen: SelectedEndpoint,
     last_event_id: Option<&Bytes>,
-    sent: &Notify,
 ) -> Result<UpstreamResponse, Failure> {
     let mut attempt = Attempt::new(Arc::clone(gateway), chosen, request);
-    let result = exchange(gateway, request, &mut attempt, last_event_id, sent).await;
+    let result = exchange(gateway, request, &mut attempt, last_event_id).await;
     match result {
         Ok((head, body)) => {
             let framing = upstream_response::framing(&head, &request.method);
@@ -205,7 +200,7 @@
         | Failure::Failed => {
             health.record_failure(now_ms);
         }
-        Failure::Replaced | Failure::EndUnknown => {}
+        Failure::Replaced | Failure::EndUnknown | Failure::Superseded => {}
     }
 }
 
@@ -229,7 +224,6 @@
     request: &Request,
     attempt: &mut Attempt,
     last_event_id: Option<&Bytes>,
-    sent: &Notify,
 ) -> Result<(response::Parts, Incoming), Failure> {
     let retryable = request.route.retry_safety.allows_resend();
     let (id, address) = (&attempt.chosen.id, attempt.chosen.address);
@@ -239,7 +233,6 @@
         None => (connect(gateway, attempt).await?, false),
     };
     let mut message = upstream_request(gateway, request, &attempt.chosen, last_event_id);
-    sent.notify_one();
     let response = loop {
         match connection.sender.try_send_request(message).await {
             Ok(response) => break response,
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -42,8 +42,8 @@
     pub(crate) preselected: Option<SelectedEndpoint>,
     /// The next attempt has been granted and taken from the retry budget.
     pub(crate) holds_retry: bool,
-    /// Notified when the request is about to be written to an endpoint, which may run it from then on.
-    pub(crate) sent: Arc<Notify>,
+    /// Notified when an endpoint has begun a success response.
+    pub(crate) begun: Arc<Notify>,
     /// The latest choice of an endpoint.
     pub(crate) last_choice: Option<SelectedEndpoint>,
     /// `None` if the request did not go through admission control.
@@ -96,6 +96,14 @@
         self.tried.push(endpoint.clone());
     }
 
+    /// Records that the attempt in progress, if there is one, is not needed any more.
+    pub(crate) fn attempt_superseded(&mut self, request: &Request) {
+        let Some(chosen) = self.last_choice.clone() else { return };
+        if !self.tried.contains(&chosen.id) {
+            self.attempt_failed(request, &chosen.id, Failure::Superseded);
+        }
+    }
+
     /// Takes back a failed attempt: its endpoint has not been told to stop and may go on.
     pub(crate) fn attempt_goes_on(&mut self, endpoint: &SelectedEndpoint, failure: Failure) {
         self.send_history.retract_failure(failure);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -33,7 +33,7 @@
     liveness,
     progress::RequestProgress,
     request::Request,
-    resumption::{Resuming, Resumption, SilentUpstream, Upstream},
+    resumption::{Resuming, Resumption, SilentStep, SilentUpstream, Upstream},
     retry::{self, OpenedResponse, open_response},
     silence::REPLACE_INTERVAL,
     suspects, take_up,
@@ -150,6 +150,13 @@
                     }
                 }
                 State::Resuming(resumption) => {
+                    if let Some(step) = resumption.poll_silent(cx, &mut self.events) {
+                        self.go_on_with_silent(cx);
+                        return Poll::Ready(match step {
+                            SilentStep::Events(bytes) => Some(Ok(bytes)),
+                            SilentStep::End => self.end(BodyEnd::Whole),
+                        });
+                    }
                     let (progress, opened) = ready!(resumption.poll(cx));
                     let (failure, silent) = (resumption.failure, resumption.silent.take());
                     self.progress = progress;
@@ -343,19 +350,21 @@
         }
         let past_deadline = Instant::now() >= self.request.deadline;
         if self.events.can_resume() && !past_deadline {
-            let sent = Arc::new(Notify::new());
-            self.progress.sent = Arc::clone(&sent);
+            let begun = Arc::new(Notify::new());
+            self.progress.begun = Arc::clone(&begun);
             let silent = upstream.filter(|_| failure == Failure::Silent);
-            let silent = silent.map(|it| SilentUpstream::new(it, sent));
-            let asking = self.resume(failure);
-            self.state = State::Resuming(Resumption { failure, asking, silent });
+            let silent = silent.map(|it| SilentUpstream::new(it, begun));
+            let cancel = Arc::new(Notify::new());
+            let asking = self.resume(failure, Arc::clone(&cancel));
+            self.state = State::Resuming(Resumption { failure, asking, cancel, silent });
         } else {
             self.abort(failure, cx);
         }
     }
 
-    /// Asks another endpoint to continue the stream after its last complete event.
-    fn resume(&mut self, failure: Failure) -> Resuming {
+    /// Asks another endpoint to continue the stream after its last complete event, until `cancel` is
+    /// notified.
+    fn resume(&mut self, failure: Failure, cancel: Arc<Notify>) -> Resuming {
         let (gateway, request) = (Arc::clone(&self.gateway), Arc::clone(&self.request));
         let mut progress = std::mem::take(&mut self.progress);
         let last_id = self.events.last_event_id().cloned();
@@ -369,8 +378,13 @@
             "stream broke; another endpoint is asked to continue"
         );
         Box::pin(async move {
-            let opened = open_response(&gateway, &request, &mut progress, last_id.as_ref()).await;
-            (progress, opened.ok())
+            let opening = open_response(&gateway, &request, &mut progress, last_id.as_ref());
+            let opened = tokio::select! {
+                biased;
+                () = cancel.notified() => None,
+                opened = opening => opened.ok(),
+            };
+            (progress, opened)
         })
     }
 
@@ -392,16 +406,41 @@
         silent: Option<SilentUpstream>,
         cx: &mut Context<'_>,
     ) {
-        let Some(SilentUpstream { upstream, .. }) = silent else {
-            self.events.discard_partial();
-            self.abort(failure, cx);
-            return;
-        };
-        tracing::info!(
-            request = %self.request.id,
-            endpoint = %upstream.attempt.chosen.id,
-            "no endpoint continues the stream; waiting for its own"
-        );
+        match silent {
+            None => {
+                self.events.discard_partial();
+                self.abort(failure, cx);
+            }
+            Some(SilentUpstream { upstream, .. }) => {
+                tracing::info!(
+                    request = %self.request.id,
+                    endpoint = %upstream.attempt.chosen.id,
+                    "no endpoint continues the stream; waiting for its own"
+                );
+                self.return_to(upstream, failure);
+            }
+        }
+    }
+
+    /// Goes on with the endpoint that fell silent, as it sent an event or its end before another one
+    /// continued the stream.
+    fn go_on_with_silent(&mut self, cx: &mut Context<'_>) {
+        let state = std::mem::replace(&mut self.state, State::Transition);
+        let State::Resuming(mut resumption) = state else { return };
+        if let Some(progress) = resumption.cancel(cx) {
+            self.progress = progress;
+        }
+        self.progress.attempt_superseded(&self.request);
+        let Some(SilentUpstream { upstream, .. }) = resumption.silent else { return };
+        let endpoint = &upstream.attempt.chosen.id;
+        tracing::info!(request = %self.request.id, %endpoint, "the silent endpoint goes on");
+        attempt::record_recovered(&self.gateway, endpoint);
+        self.last_data = Instant::now();
+        self.return_to(upstream, resumption.failure);
+    }
+
+    /// Takes back that an endpoint failed, and streams its response again.
+    fn return_to(&mut self, upstream: Box<Upstream>, failure: Failure) {
         self.progress.attempt_goes_on(&upstream.attempt.chosen, failure);
         self.progress.upstream_framing = Some(upstream.framing);
         self.progress.is_event_stream = Some(self.events.is_event_stream());
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -1,4 +1,4 @@
-//! Continues a stream at another endpoint.
+//! Continues a stream at another endpoint, while its silent one may still go on.
 
 use std::{
     future::Future,
@@ -8,14 +8,17 @@
     time::Duration,
 };
 
-use hyper::body::Incoming;
-use tanagergauge_core::{body_end::Framing, send_history::Failure};
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use tanagergauge_core::{
+    body_end::Framing, event_forwarder::EventForwarder, send_history::Failure,
+};
 use tokio::{sync::Notify, time::sleep};
 
 use crate::{attempt::Attempt, progress::RequestProgress, retry::OpenedResponse};
 
-/// How long a silent endpoint may go on with a stream once another one was sent the request to continue
-/// it. Refusals come sooner; after it, two endpoints would work on the same stream.
+/// How long a silent endpoint may go on with a stream once another one has begun its response. After it,
+/// two endpoints would work on the same stream.
 const MAX_OVERLAP: Duration = Duration::from_millis(150);
 
 /// Sends the request to another endpoint; the response is absent if that fails.
@@ -34,7 +37,9 @@
     /// Why the stream is resumed.
     pub(crate) failure: Failure,
     pub(crate) asking: Resuming,
-    /// The endpoint that fell silent. It goes on with the stream if the other one refuses at once.
+    /// Ends [`Resumption::asking`] without a response.
+    pub(crate) cancel: Arc<Notify>,
+    /// The endpoint that fell silent. The stream goes on there if it sends an event first.
     pub(crate) silent: Option<SilentUpstream>,
 }
 
@@ -44,11 +49,19 @@
     stop: Pin<Box<dyn Future<Output = ()> + Send>>,
 }
 
+/// What a silent endpoint did while another one was asked.
+pub(crate) enum SilentStep {
+    /// It sent events.
+    Events(Bytes),
+    /// It ended its response, which is whole.
+    End,
+}
+
 impl SilentUpstream {
-    /// Keeps the endpoint connected until [`MAX_OVERLAP`] after the request was `sent` to another one.
-    pub(crate) fn new(upstream: Box<Upstream>, sent: Arc<Notify>) -> SilentUpstream {
+    /// Keeps the endpoint connected until [`MAX_OVERLAP`] after another one has `begun` its response.
+    pub(crate) fn new(upstream: Box<Upstream>, begun: Arc<Notify>) -> SilentUpstream {
         let stop = async move {
-            sent.notified().await;
+            begun.notified().await;
             sleep(MAX_OVERLAP).await;
         };
         SilentUpstream { upstream, stop: Box::pin(stop) }
@@ -70,4 +83,43 @@
         }
         answer
     }
+
+    /// Polls the silent endpoint, whose bytes go through `events`. One whose response breaks off is
+    /// forgotten. Bytes that complete no event do not count.
+    pub(crate) fn poll_silent(
+        &mut self,
+        cx: &mut Context<'_>,
+        events: &mut EventForwarder,
+    ) -> Option<SilentStep> {
+        let upstream = &mut self.silent.as_mut()?.upstream;
+        loop {
+            match Pin::new(&mut upstream.body).poll_frame(cx) {
+                Poll::Pending => return None,
+                Poll::Ready(Some(Ok(frame))) => {
+                    let bytes = events.push(frame.into_data().unwrap_or_default());
+                    if !bytes.is_empty() {
+                        return Some(SilentStep::Events(bytes));
+                    }
+                    if events.is_event_too_long() {
+                        break;
+                    }
+                }
+                Poll::Ready(None) if upstream.framing.shows_end() && !events.is_inside_event() => {
+                    return Some(SilentStep::End);
+                }
+                Poll::Ready(None | Some(Err(_))) => break,
+            }
+        }
+        self.silent = None;
+        None
+    }
+
+    /// Stops asking another endpoint. Returns the progress of the request.
+    pub(crate) fn cancel(&mut self, cx: &mut Context<'_>) -> Option<RequestProgress> {
+        self.cancel.notify_one();
+        match self.asking.as_mut().poll(cx) {
+            Poll::Ready((progress, _)) => Some(progress),
+            Poll::Pending => None,
+        }
+    }
 }
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -81,6 +81,9 @@
             record_failure(gateway, request, progress, &attempt, Failure::Failed);
             continue;
         }
+        if head.status.is_success() {
+            progress.begun.notify_one();
+        }
         let reading = first_bytes(&mut body);
         let first = match silence::wait(gateway, request, progress, &attempt.chosen, reading).await
         {
@@ -166,8 +169,7 @@
             None => choose_endpoint(gateway, request, progress)?,
         };
         progress.last_choice = Some(chosen.clone());
-        let sent = Arc::clone(&progress.sent);
-        let sending = attempt::send(gateway, request, chosen.clone(), last_event_id, &sent);
+        let sending = attempt::send(gateway, request, chosen.clone(), last_event_id);
         let sent = silence::wait(gateway, request, progress, &chosen, sending).await;
         progress
             .set_framing(sent.as_ref().ok().and_then(|it| it.as_ref().ok()).map(|it| it.framing));
@@ -341,7 +343,7 @@
     let reason = match progress.last_failure {
         Some(Failure::Unreachable) => Reason::ConnectFailed,
         Some(Failure::Refused | Failure::Replaced) => Reason::EndpointRefused,
-        Some(Failure::Silent) => Reason::EndpointTimeout,
+        Some(Failure::Silent | Failure::Superseded) => Reason::EndpointTimeout,
         Some(Failure::BadAnswer) => Reason::BadAnswer,
         Some(Failure::Broke | Failure::Failed | Failure::EndUnknown) => Reason::EndpointBroke,
         None => Reason::NoEndpoint,
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -65,7 +65,8 @@
         | Failure::Silent
         | Failure::BadAnswer
         | Failure::Failed
-        | Failure::EndUnknown => {}
+        | Failure::EndUnknown
+        | Failure::Superseded => {}
     }
 }
 
