Ask an endpoint for its health after a response of unknown end

Cause: a host accepts connections for a process until it has closed all its sockets, which takes as long as the scheduler wants. A wait bounds nothing; a response proves that the process runs. The endpoint is now asked at the health path of its service (any response but 421 counts), and a connection that stays open for a second counts too.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -90,6 +90,8 @@
     pub name: Name,
     /// Maximum number of connections that one endpoint accepts in total, whoever opens them.
     pub connection_limit: u32,
+    /// Path at which its endpoints respond to health checks, if they do.
+    pub health_path: Option<Name>,
     /// Present if its endpoints are engines that run models.
     pub engine: Option<EngineLimits>,
 }
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -11,17 +11,24 @@
     time::Duration,
 };
 
+use http_body_util::Full;
+use hyper::{StatusCode, body::Body, header::HOST};
 use tanagergauge_core::{Name, selection::SelectedEndpoint};
-use tokio::time::{sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
-    clock, connection::Connection, gateway::Gateway, pool::ConnectFailed, request::Request,
-    suspects,
+    attempt::collect_body, clock, connection::Connection, gateway::Gateway, pool::ConnectFailed,
+    request::Request, suspects, upstream_response,
 };
 
-/// Time that a process which ends may take to close its sockets. Until it has closed the one at which it
-/// listens, its host accepts connections for it, and resets them then.
+/// Time that a process which ends may take to close its sockets.
 const PROCESS_END_TIME: Duration = Duration::from_millis(50);
+/// Time-out for the response to a health check. An endpoint that takes longer is busy.
+const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time-out for the body of that response; after it the connection is not reused.
+const HEALTH_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Largest body of that response for which the connection is reused, in bytes.
+const MAX_HEALTH_BYTES: u64 = 4 << 10;
 /// Maximum number of connections opened to find out whether an endpoint is there.
 const MAX_PRESENCE_CHECKS: usize = 3;
 
@@ -40,11 +47,11 @@
 /// What connections to an endpoint show of it.
 #[derive(Debug)]
 enum Presence {
-    /// It accepted a connection and keeps it open.
-    Connected(Box<Connection>),
-    /// It accepts connections and resets them: it has as many as it takes.
+    /// It responded, or kept a connection open; `None` if that cannot be used again.
+    Present(Option<Box<Connection>>),
+    /// It accepts connections and closes them: it has as many as it takes.
     Full,
-    /// No process listens at its address.
+    /// No process listens at its address, or that of another endpoint.
     Gone,
     /// Nothing came back.
     Unreachable,
@@ -62,17 +69,22 @@
 /// Whether an endpoint is still there right after a response of it that may be whole or not. If not, the
 /// response may have broken off with its process, whether or not that was about to stop. If it is, the
 /// connection is kept for the next request, as the response used one up.
+///
+/// That its host accepts a connection is not enough: it does so until a process that ends has closed all
+/// its sockets.
 pub(crate) async fn is_present_after_end(
     gateway: &Gateway,
     request: &Request,
     endpoint: &SelectedEndpoint,
 ) -> bool {
-    let presence = timeout_at(request.deadline, check_presence(gateway, endpoint.address)).await;
-    let presence = presence.unwrap_or(Presence::Unreachable);
+    let checking = check_presence(gateway, &request.service, endpoint);
+    let presence = timeout_at(request.deadline, checking).await.unwrap_or(Presence::Unreachable);
     tracing::debug!(request = %request.id, endpoint = %endpoint.id, ?presence, "checked after an unknown end");
     match presence {
-        Presence::Connected(connection) => {
-            gateway.pool.put(&endpoint.id, *connection, None);
+        Presence::Present(connection) => {
+            if let Some(connection) = connection {
+                gateway.pool.put(&endpoint.id, *connection, None);
+            }
             true
         }
         Presence::Full => true,
@@ -86,24 +98,67 @@
     }
 }
 
-async fn check_presence(gateway: &Gateway, address: SocketAddr) -> Presence {
+async fn check_presence(gateway: &Gateway, service: &str, endpoint: &SelectedEndpoint) -> Presence {
+    let health_path =
+        gateway.configuration().and_then(|it| it.service(service)?.health_path.clone());
     let mut presence = Presence::Unreachable;
     for _ in 0..MAX_PRESENCE_CHECKS {
-        presence = match gateway.pool.connect(address).await {
-            Ok(connection) => {
-                sleep(PROCESS_END_TIME).await;
-                if !connection.sender.is_closed() {
-                    return Presence::Connected(Box::new(connection));
-                }
-                Presence::Full
-            }
-            Err(ConnectFailed::Refused) => return Presence::Gone,
+        presence = match gateway.pool.connect(endpoint.address).await {
+            Ok(connection) => match &health_path {
+                Some(path) => check_health(gateway, endpoint, connection, path).await,
+                None => wait_for_close(connection).await,
+            },
+            Err(ConnectFailed::Refused) => Presence::Gone,
             Err(ConnectFailed::Unreachable) => Presence::Unreachable,
         };
+        if matches!(presence, Presence::Present(_) | Presence::Gone) {
+            return presence;
+        }
     }
     presence
 }
 
+/// Asks an endpoint for its health. Any response of its own shows that it is there, and so does a
+/// connection that stays open for [`HEALTH_TIMEOUT`].
+async fn check_health(
+    gateway: &Gateway,
+    endpoint: &SelectedEndpoint,
+    mut connection: Connection,
+    path: &str,
+) -> Presence {
+    let request = hyper::Request::builder()
+        .uri(path)
+        .header(HOST, endpoint.address.to_string())
+        .header(&gateway.header_names.expected_endpoint, &*endpoint.id)
+        .body(Full::default());
+    let Ok(request) = request else { return wait_for_close(connection).await };
+    let response = match timeout(HEALTH_TIMEOUT, connection.sender.send_request(request)).await {
+        Err(_) => return Presence::Present(None),
+        Ok(Err(_)) => return Presence::Full,
+        Ok(Ok(response)) => response,
+    };
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Presence::Gone;
+    }
+    let is_short = response.body().size_hint().exact().is_some_and(|it| it <= MAX_HEALTH_BYTES);
+    let closes = upstream_response::closes_connection(response.headers());
+    if !is_short || closes {
+        return Presence::Present(None);
+    }
+    let deadline = Instant::now() + HEALTH_BODY_TIMEOUT;
+    let is_read = collect_body(response.into_body(), deadline).await.is_ok();
+    Presence::Present(is_read.then(|| Box::new(connection)))
+}
+
+/// Waits for longer than a process takes to end.
+async fn wait_for_close(connection: Connection) -> Presence {
+    sleep(PROCESS_END_TIME).await;
+    if connection.sender.is_closed() {
+        return Presence::Full;
+    }
+    Presence::Present(Some(Box::new(connection)))
+}
+
 async fn check(gateway: Arc<Gateway>, endpoint: Name, address: SocketAddr) {
     let connected = gateway.pool.connect(address).await;
     gateway.liveness_checks.lock().remove(&endpoint);
