Bound the memory of bodies, and what comes before a response's head

Cause: each buffered body had a limit of 8 MiB, all together had none, and pieces were kept as they came, some 40 bytes of memory for a chunk of one byte. Interim responses without end were all read at the cost of other requests, and an event without end was searched from its begin at each piece.

Why it works: pieces are copied into one buffer, all large bodies share 24 MiB, and 64 KiB of each are free, so that usual requests and responses pass meanwhile. A connection ends after 64 KiB before a head. The daemon and the store's client use the same buffer.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod admission_controller;
 pub mod balancer;
 pub mod begun_streams;
+pub mod body_buffer;
 pub mod body_end;
 pub mod check;
 pub mod choice;
--- a/crates/core/src/sse_framer.rs
+++ b/crates/core/src/sse_framer.rs
@@ -6,6 +6,9 @@
 /// Maximum size of a buffered incomplete event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Size of the longest end of an event: the line end before the empty line, and that line, in bytes.
+const MAX_EVENT_END_BYTES: usize = b"\n\r\n".len();
+
 /// Number of line ends in a row that make an empty line, which ends an event.
 const EMPTY_LINE: usize = 2;
 
@@ -35,8 +38,13 @@
                 return bytes;
             }
         }
+        // What came before ends no event, so that an end begins with its last bytes at most.
+        let searched_len = self.partial.len().saturating_sub(MAX_EVENT_END_BYTES - 1);
         self.partial.extend_from_slice(&bytes);
-        let complete_len = complete_len(&self.partial);
+        let complete_len = match complete_len(&self.partial[searched_len..]) {
+            0 => 0,
+            len => searched_len + len,
+        };
         let events = self.partial.split_to(complete_len).freeze();
         self.record_events(&events);
         events
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Response, StatusCode,
     body::{Body, Incoming},
@@ -20,6 +19,7 @@
 use crate::{
     attempt::{self, Answer, Failure, Ran},
     body::AnswerBody,
+    collect::{self, CollectError},
     headers,
     once::Hold,
     refusal::Refusal,
@@ -161,13 +161,10 @@
 }
 
 async fn collect(body: Incoming, limit_bytes: usize) -> Result<Bytes, Failure> {
-    match Limited::new(body, limit_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Failure::after_send(Reason::BadAnswer))
-        }
-        Err(_) => Err(Failure::after_send(Reason::EndpointBroke)),
-    }
+    collect::collect(body, limit_bytes).await.map_err(|error| match error {
+        CollectError::TooLarge => Failure::after_send(Reason::BadAnswer),
+        CollectError::Broke => Failure::after_send(Reason::EndpointBroke),
+    })
 }
 
 /// An engine's answer is a JSON document, and its own errors are not passed on. Gives the number
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -3,7 +3,6 @@
 use std::{borrow::Cow, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::Incoming,
@@ -32,6 +31,7 @@
     body::AnswerBody,
     caller::{self, Caller},
     clock::unix_ms,
+    collect::{CollectError, collect},
     counters,
     ending::Ending,
     exchange, fingerprint, headers,
@@ -384,15 +384,17 @@
 
 async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, Refusal> {
     let limits = shared.settings.limits;
-    let collect = Limited::new(body, limits.body_bytes).collect();
+    let collect = collect(body, limits.body_bytes);
     let collected = timeout(Duration::from_millis(limits.body_timeout_ms), collect).await;
     match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(CollectError::TooLarge)) => {
             let message = format!("the body is larger than {} bytes", limits.body_bytes);
             Err(Refusal::not_run(Reason::BodyTooLarge, message))
         }
-        Ok(Err(_)) => Err(Refusal::not_run(Reason::Malformed, "the body broke off")),
+        Ok(Err(CollectError::Broke)) => {
+            Err(Refusal::not_run(Reason::Malformed, "the body broke off"))
+        }
         Err(_) => Err(Refusal::not_run(Reason::BodyTimeout, "the body took too long")),
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod chunk;
 pub mod claimer;
 pub mod clock;
+pub mod collect;
 pub mod control;
 pub mod counters;
 pub mod dispatcher;
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -4,14 +4,14 @@
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Method, Request, Response, body::Incoming, header::HOST};
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use tanagergauge_core::Name;
 use tokio::time::timeout;
 
-use crate::{meter::Meter, pool::Pool};
+use crate::{collect::collect, meter::Meter, pool::Pool};
 
 /// Longest wait for the platform to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -227,8 +227,8 @@
 
 async fn read_whole(response: Response<Incoming>) -> Option<(u16, Bytes)> {
     let status = response.status().as_u16();
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await.ok()?;
-    Some((status, body.to_bytes()))
+    let body = collect(response.into_body(), MAX_ANSWER_BYTES).await.ok()?;
+    Some((status, body))
 }
 
 fn parse<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, PlatformError> {
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -3,7 +3,7 @@
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Method, Request,
     header::{CONTENT_TYPE, HOST},
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    collect::collect,
     meter::Meter,
     pool::{Connection, Pool},
     seal::{Direction, Nonce, Route, SealError, Sealed},
@@ -111,9 +112,9 @@
             .body(Full::new(body))
             .ok()?;
         let response = connection.send_request(request).await.ok()?;
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await.ok()?;
+        let body = collect(response.into_body(), MAX_ANSWER_BYTES).await.ok()?;
         self.pool.put(asked, connection);
-        Some(body.to_bytes())
+        Some(body)
     }
 }
 
--- a/crates/daemon/src/watcher.rs
+++ b/crates/daemon/src/watcher.rs
@@ -6,7 +6,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, header::HOST};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use serde::Deserialize;
@@ -18,7 +18,10 @@
 };
 use tokio::{sync::watch, time::timeout};
 
-use crate::{clock::Clock, fleet_view::FleetView, meter::Meter, peers, pool::Pool, view::View};
+use crate::{
+    clock::Clock, collect::collect, fleet_view::FleetView, meter::Meter, peers, pool::Pool,
+    view::View,
+};
 
 /// Instances that watch an endpoint.
 pub const WATCHERS: usize = 2;
@@ -253,9 +256,9 @@
         .ok()?;
     let exchange = async {
         let response = connection.send_request(request).await.ok()?;
-        Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await.ok()
+        collect(response.into_body(), MAX_ANSWER_BYTES).await.ok()
     };
     let body = timeout(ANSWER_TIMEOUT, exchange).await.ok().flatten()?;
     pool.put(address, connection);
-    serde_json::from_slice(&body.to_bytes()).ok()
+    serde_json::from_slice(&body).ok()
 }
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -147,8 +147,8 @@
             full_response(StatusCode::OK, Bytes::from(meters::render(follower.gateway())))
         }
         (&Method::POST, peers::PATH) => {
-            let body =
-                collect_body(incoming.into_body(), Instant::now() + REPORT_BODY_TIMEOUT).await;
+            let deadline = Instant::now() + REPORT_BODY_TIMEOUT;
+            let body = collect_body(follower.gateway(), incoming.into_body(), deadline).await;
             match body.ok().and_then(|it| peers::handle(follower, &it)) {
                 Some(bytes) => full_response(StatusCode::OK, bytes),
                 None => full_response(StatusCode::BAD_REQUEST, Bytes::new()),
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{
     Response, Uri,
     body::{Body, Incoming},
@@ -18,6 +18,7 @@
 
 use crate::{
     attempt::IDLE_FIRST_BYTE_MS,
+    body_memory::{self, CollectError},
     clock,
     gateway::Gateway,
     meters,
@@ -75,7 +76,7 @@
     let allowed = Duration::from_millis(route.timeout_ms);
     let time_left = request::time_left(&head, names).unwrap_or(allowed).min(allowed);
     let deadline = arrived + time_left;
-    let body = read_body(body, configuration.limits.body_bytes, deadline)
+    let body = read_body(gateway, body, configuration.limits.body_bytes, deadline)
         .await
         .map_err(|it| refuse(Refusal::not_run(it)))?;
     let account = match identity {
@@ -226,14 +227,21 @@
     Refusal::not_run(reason)
 }
 
-async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Reason> {
+async fn read_body(
+    gateway: &Gateway,
+    body: Incoming,
+    limit_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, Reason> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    match timeout_at(deadline, Limited::new(body, limit).collect()).await {
+    let collecting = body_memory::collect(&gateway.body_memory, body, limit_bytes);
+    match timeout_at(deadline, collecting).await {
         Err(_) => Err(Reason::BodyTimeout),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::BodyTooLarge),
-        Ok(Err(_)) => Err(Reason::Malformed),
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(CollectError::TooLarge)) => Err(Reason::BodyTooLarge),
+        Ok(Err(CollectError::NoMemory)) => Err(Reason::QueueFull),
+        Ok(Err(CollectError::Broke)) => Err(Reason::Malformed),
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     StatusCode,
     body::Incoming,
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    body_memory::{self, CollectError},
     clock,
     connection::Connection,
     gateway::Gateway,
@@ -234,6 +235,7 @@
     };
     let mut message = upstream_request(gateway, request, &attempt.chosen, last_event_id);
     let response = loop {
+        connection.read_limit.await_head();
         match connection.sender.try_send_request(message).await {
             Ok(response) => break response,
             Err(mut error) => match error.take_message() {
@@ -248,6 +250,7 @@
             },
         }
     };
+    connection.read_limit.head_received();
     attempt.connection = Some(connection);
     let (head, body) = response.into_parts();
     attempt.record_connection_headers(&head);
@@ -262,7 +265,7 @@
         Err(failure) => {
             log_unnamed(gateway, request, attempt, &head, failure);
             if failure == Failure::Refused
-                && collect_body(body, Instant::now() + REFUSAL_BODY_TIMEOUT).await.is_ok()
+                && collect_body(gateway, body, Instant::now() + REFUSAL_BODY_TIMEOUT).await.is_ok()
             {
                 attempt.finish_refused(&request.id);
             }
@@ -337,13 +340,21 @@
 /// Reads a body completely.
 ///
 /// # Errors
-/// The body broke off, exceeds [`MAX_BODY_BYTES`], or did not end before `deadline`.
-pub(crate) async fn collect_body(body: Incoming, deadline: Instant) -> Result<Bytes, Failure> {
-    let collecting = Limited::new(body, MAX_BODY_BYTES).collect();
+/// The body broke off, takes too much memory, or did not end before `deadline`.
+pub(crate) async fn collect_body(
+    gateway: &Gateway,
+    body: Incoming,
+    deadline: Instant,
+) -> Result<Bytes, Failure> {
+    let collecting = body_memory::collect(&gateway.body_memory, body, MAX_BODY_BYTES);
     match timeout_at(deadline, collecting).await {
         Err(_) => Err(Failure::Silent),
-        Ok(Err(_)) => Err(Failure::Broke),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(CollectError::Broke)) => Err(Failure::Broke),
+        Ok(Err(error @ (CollectError::TooLarge | CollectError::NoMemory))) => {
+            tracing::warn!(%error, "body is not read any further");
+            Err(Failure::BadAnswer)
+        }
     }
 }
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,6 +1,6 @@
 //! HTTP/1 connections to endpoints and peers.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -8,7 +8,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
 
-use crate::request::uniform_hash;
+use crate::{
+    endpoint_stream::{EndpointStream, ReadLimit},
+    request::uniform_hash,
+};
 
 /// Largest read buffer, in bytes.
 const BUFFER_BYTES: usize = 32 << 10;
@@ -20,6 +23,8 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) address: SocketAddr,
+    /// Bounds what comes before the head of a response.
+    pub(crate) read_limit: Arc<ReadLimit>,
     /// Whether it has carried a request.
     pub(crate) used: bool,
     /// Hashes of the ids of requests that the endpoint refused here. If one of these ids is used again,
@@ -35,6 +40,8 @@
     pub(crate) async fn open(stream: TcpStream, address: SocketAddr) -> hyper::Result<Connection> {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES);
+        let read_limit = Arc::<ReadLimit>::default();
+        let stream = EndpointStream::new(stream, Arc::clone(&read_limit));
         let (sender, driver) = builder.handshake(TokioIo::new(stream)).await?;
         let driver = async move {
             if let Err(error) = driver.await {
@@ -43,7 +50,8 @@
         };
         let task = tokio::spawn(driver).abort_handle();
         let idle_since = Instant::now();
-        Ok(Connection { sender, address, used: false, refused_ids: Vec::new(), idle_since, task })
+        let refused_ids = Vec::new();
+        Ok(Connection { sender, address, read_limit, used: false, refused_ids, idle_since, task })
     }
 
     /// Records that the endpoint refused a request on this connection.
--- /dev/null
+++ b/crates/gateway/src/endpoint_stream.rs
@@ -0,0 +1,119 @@
+//! The socket of an endpoint, which bounds what may come before the head of a response.
+//!
+//! An endpoint may send interim responses (status 1xx) without end. hyper reads them all, at the cost of
+//! the requests that share its thread.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    task::{Context, Poll, ready},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Maximum number of bytes that are read up to the head of a response, with what follows it at once.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// What may be read while no head is awaited.
+const UNLIMITED_BYTES: usize = usize::MAX;
+
+/// How many bytes may still be read.
+#[derive(Debug)]
+pub(crate) struct ReadLimit {
+    left_bytes: AtomicUsize,
+}
+
+impl Default for ReadLimit {
+    fn default() -> ReadLimit {
+        ReadLimit { left_bytes: AtomicUsize::new(UNLIMITED_BYTES) }
+    }
+}
+
+impl ReadLimit {
+    /// Limits what is read until [`ReadLimit::head_received`].
+    pub(crate) fn await_head(&self) {
+        self.left_bytes.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+    }
+
+    /// Ends the limit.
+    pub(crate) fn head_received(&self) {
+        self.left_bytes.store(UNLIMITED_BYTES, Ordering::Relaxed);
+    }
+
+    fn is_used_up(&self) -> bool {
+        self.left_bytes.load(Ordering::Relaxed) == 0
+    }
+
+    fn record_read(&self, read_bytes: usize) {
+        let left = self.left_bytes.load(Ordering::Relaxed);
+        if left != UNLIMITED_BYTES {
+            self.left_bytes.store(left.saturating_sub(read_bytes), Ordering::Relaxed);
+        }
+    }
+}
+
+/// An endpoint's socket.
+#[derive(Debug)]
+pub(crate) struct EndpointStream {
+    stream: TcpStream,
+    limit: Arc<ReadLimit>,
+}
+
+impl EndpointStream {
+    pub(crate) fn new(stream: TcpStream, limit: Arc<ReadLimit>) -> EndpointStream {
+        EndpointStream { stream, limit }
+    }
+}
+
+impl AsyncRead for EndpointStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.limit.is_used_up() {
+            let message = "too many bytes before the head of a response";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
+        }
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        self.limit.record_read(buffer.filled().len() - before);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for EndpointStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -168,7 +168,7 @@
         return Ok(Served::Stream(Box::new(opened)));
     }
     let OpenedResponse { head, framing, first, body, attempt, .. } = opened;
-    let rest = attempt::collect_body(body, request.deadline).await;
+    let rest = attempt::collect_body(gateway, body, request.deadline).await;
     let rest = rest.map_err(|it| body_failed(request, progress, &attempt, it))?;
     let bytes = if rest.is_empty() { first } else { Bytes::from([first, rest].concat()) };
     let end = upstream_response::body_end(&head, framing, &bytes);
@@ -196,7 +196,7 @@
             }
         };
         let UpstreamResponse { head, framing, body, mut attempt } = response;
-        let reading = attempt::collect_body(body, request.deadline);
+        let reading = attempt::collect_body(gateway, body, request.deadline);
         let read = silence::wait(gateway, request, progress, &attempt.chosen, reading).await;
         let bytes = match read.unwrap_or(Err(Failure::Silent)) {
             Ok(bytes) => bytes,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,9 +15,9 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    admission_controllers::AdmissionControllers, clock, header_names::HeaderNames,
-    liveness::LivenessChecks, peers::PeerState, pool::Pool, retry_budgets::RetryBudgets,
-    settings::Settings, stop::Phase, suspects,
+    admission_controllers::AdmissionControllers, body_memory::BodyMemory, clock,
+    header_names::HeaderNames, liveness::LivenessChecks, peers::PeerState, pool::Pool,
+    retry_budgets::RetryBudgets, settings::Settings, stop::Phase, suspects,
 };
 use std::sync::Arc;
 
@@ -31,6 +31,7 @@
     pub(crate) pool: Pool,
     pub(crate) peers: PeerState,
     pub(crate) liveness_checks: LivenessChecks,
+    pub(crate) body_memory: Arc<BodyMemory>,
     /// Progress of a graceful stop.
     pub(crate) phase: watch::Sender<Phase>,
     /// Number of callers' requests in progress.
@@ -65,6 +66,7 @@
             pool: Pool::default(),
             peers: PeerState::default(),
             liveness_checks: LivenessChecks::default(),
+            body_memory: Arc::default(),
             phase: watch::Sender::new(Phase::Serving),
             in_progress: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -132,11 +132,13 @@
         .header(&gateway.header_names.expected_endpoint, &*endpoint.id)
         .body(Full::default());
     let Ok(request) = request else { return wait_for_close(connection).await };
+    connection.read_limit.await_head();
     let response = match timeout(HEALTH_TIMEOUT, connection.sender.send_request(request)).await {
         Err(_) => return Presence::Present(None),
         Ok(Err(_)) => return Presence::Full,
         Ok(Ok(response)) => response,
     };
+    connection.read_limit.head_received();
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         return Presence::Gone;
     }
@@ -146,7 +148,7 @@
         return Presence::Present(None);
     }
     let deadline = Instant::now() + HEALTH_BODY_TIMEOUT;
-    let is_read = collect_body(response.into_body(), deadline).await.is_ok();
+    let is_read = collect_body(gateway, response.into_body(), deadline).await.is_ok();
     Presence::Present(is_read.then(|| Box::new(connection)))
 }
 
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -62,7 +62,7 @@
         .ok()?;
     let response =
         timeout_at(deadline, connection.sender.send_request(request)).await.ok()?.ok()?;
-    let bytes = collect_body(response.into_body(), deadline).await.ok()?;
+    let bytes = collect_body(gateway, response.into_body(), deadline).await.ok()?;
     gateway.pool.put(name, connection, None);
     match message::decode(&bytes) {
         Ok(Decoded { message: response, versions, base_bytes }) => {
