Refuse requests that are complete late in a grace period, and answer the rest at its end

Cause: only new connections and idle ones were bound by the notice period; a request of which a part had come by then was passed on at any time, and nobody was told anything at the end.

Why it works: what is complete after the notice period is refused at once and reaches no endpoint (503, stopping, Retry-After 0); what has no response at the end of the grace period gets 502, which promises nothing.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -50,7 +50,7 @@
 /// Accepts callers until a graceful stop closes idle connections; later requests could not be
 /// finished in time.
 pub(crate) async fn callers(gateway: Arc<Gateway>, listener: TcpListener) {
-    let mut closing = std::pin::pin!(wait_for_closing(&gateway));
+    let mut closing = std::pin::pin!(gateway.wait_for_phase(Phase::Closing));
     // During start-up, connections wait in the accept queue instead of being refused as not ready.
     let _ = timeout(STARTUP_WAIT, gateway.wait_until_initialized()).await;
     loop {
@@ -87,7 +87,7 @@
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = wait_for_closing(gateway) => {
+        () = gateway.wait_for_phase(Phase::Closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -97,13 +97,6 @@
     }
 }
 
-/// Waits until a graceful stop closes idle connections.
-async fn wait_for_closing(gateway: &Gateway) {
-    let mut phase = gateway.phase.subscribe();
-    // Cannot fail: the gateway owns the sender.
-    let _ = phase.wait_for(|it| *it == Phase::Closing).await;
-}
-
 /// Serves `/readyz`.
 pub(crate) async fn readiness(gateway: Arc<Gateway>, listener: TcpListener) {
     loop {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -26,7 +26,9 @@
     request::Request,
     response::{Refusal, ResponseBody, end_with_connection},
     retry::{OpenedResponse, next_response, open_response, record_failure},
-    silence, suspects, upstream_response,
+    silence,
+    stop::Phase,
+    suspects, upstream_response,
 };
 
 /// Counts a request as in progress until dropped.
@@ -52,16 +54,7 @@
 ) -> Response<ResponseBody> {
     let _in_progress = InProgress::begin(&gateway);
     let mut response = match receive_request(&gateway, incoming).await {
-        Ok(request) => {
-            let mut progress = RequestProgress::default();
-            match choose_and_admit(&gateway, &request, &mut progress) {
-                Ok(()) => serve(&gateway, Arc::new(request), progress).await,
-                Err(refusal) => {
-                    progress.report(&request, refusal.outcome, Some(refusal.reason), 0);
-                    refusal.response()
-                }
-            }
-        }
+        Ok(request) => respond(&gateway, request).await,
         Err(refused) => refused.response(),
     };
     if gateway.is_stopping() {
@@ -70,16 +63,40 @@
     response
 }
 
+/// Responds to a request that was read completely.
+async fn respond(gateway: &Arc<Gateway>, request: Request) -> Response<ResponseBody> {
+    let mut progress = RequestProgress::default();
+    let admitted = if gateway.has_reached(Phase::Closing) {
+        Err(Refusal::not_run(Reason::Stopping).retry_after_ms(0))
+    } else {
+        choose_and_admit(gateway, &request, &mut progress)
+    };
+    match admitted {
+        Ok(()) => serve(gateway, Arc::new(request), progress).await,
+        Err(refusal) => {
+            progress.report(&request, refusal.outcome, Some(refusal.reason), 0);
+            refusal.response()
+        }
+    }
+}
+
 async fn serve(
     gateway: &Arc<Gateway>,
     request: Arc<Request>,
     mut progress: RequestProgress,
 ) -> Response<ResponseBody> {
     let mut guard = CallerLeftGuard { request: &request, armed: true };
-    let result = if request.route.retry_safety.is_stream() {
-        serve_stream(gateway, &request, &mut progress).await
-    } else {
-        serve_buffered(gateway, &request, &mut progress).await
+    let serving = async {
+        if request.route.retry_safety.is_stream() {
+            serve_stream(gateway, &request, &mut progress).await
+        } else {
+            serve_buffered(gateway, &request, &mut progress).await
+        }
+    };
+    let result = tokio::select! {
+        result = serving => result,
+        // The request may run on; without an answer its caller would not know that it was read.
+        () = gateway.wait_for_phase(Phase::Ending) => Err(Refusal::unknown(Reason::Stopping)),
     };
     guard.armed = false;
     match result {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -174,9 +174,21 @@
         let _ = era.wait_for(|it| *it > known).await;
     }
 
+    /// Waits until a graceful stop has come to a phase.
+    pub(crate) async fn wait_for_phase(&self, phase: Phase) {
+        let mut current = self.phase.subscribe();
+        // Cannot fail: this gateway owns the sender.
+        let _ = current.wait_for(|it| *it >= phase).await;
+    }
+
+    /// Whether a graceful stop has come to a phase.
+    pub(crate) fn has_reached(&self, phase: Phase) -> bool {
+        *self.phase.borrow() >= phase
+    }
+
     /// Whether a graceful stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
-        *self.phase.borrow() != Phase::Serving
+        self.has_reached(Phase::Leaving)
     }
 
     /// Whether both configuration and endpoints have been read.
