Let a stream of an unknown attempt wait for a list read after its caller asked

Cause: one version alone counted by a list of endpoints of up to 1.5 s of age, and stops were noticed from one second on. Others may have begun streams at a version that joined meanwhile.

Why it works: a list that the store gave after the caller asked has every version at which the stream can have begun. The instance reads it at once, at most ten times a second; the margin of 100 ms leaves out answers that were on their way. A read that leaves more in the store confirms nothing any more.

--- a/crates/core/src/version_history.rs
+++ b/crates/core/src/version_history.rs
@@ -26,6 +26,9 @@
 const MAX_OBSERVATION_GAP_MS: u64 = 1_000;
 /// Time after such a stop within which answers arrive that were given before its end, in milliseconds.
 const STALE_ANSWERS_MS: u64 = 300;
+/// Time within which answers arrive that were given before a question came, in milliseconds, if this
+/// process was not stopped for longer than [`MAX_OBSERVATION_GAP_MS`].
+const LATE_ANSWERS_MS: u64 = 100;
 /// How much the Unix times of instances may differ, in milliseconds.
 pub const UNIX_TIME_MARGIN_MS: u64 = 5_000;
 /// Least gain, in milliseconds, for which a peer's completeness is taken over. What two instances make
@@ -169,6 +172,18 @@
         }
     }
 
+    /// Whether the list of endpoints was confirmed after a question came. An older one may lack a version at
+    /// which the stream that is asked for began, at another instance.
+    pub fn is_confirmed_since(list_age_ms: Option<u64>, asked_ms: u64, now_ms: u64) -> bool {
+        let confirmed_ms = list_age_ms.and_then(|age_ms| now_ms.checked_sub(age_ms));
+        confirmed_ms.is_some_and(|it| it >= asked_ms + LATE_ANSWERS_MS)
+    }
+
+    /// Whether what tells of versions in service has not been read yet.
+    pub fn is_loading(&self) -> bool {
+        !self.are_records_read || !self.is_list_read
+    }
+
     /// Whether the list of endpoints has the versions that others know. That of a process that was
     /// stopped may be old although it was confirmed just now, by an answer that waited for the process.
     fn is_list_current(&self, list_age_ms: Option<u64>, now_ms: u64) -> bool {
--- a/crates/core/tests/version_history.rs
+++ b/crates/core/tests/version_history.rs
@@ -218,3 +218,18 @@
     history.apply_records(Vec::new(), UNIX_MS, 2 * LATER_MS);
     assert_eq!(store(&mut history, 2 * LATER_MS), records);
 }
+
+/// Guards against ORDER: a list that was confirmed before a stream was asked for, or by an answer that was on
+/// its way then, may lack the version at which the stream began.
+#[test]
+fn a_list_is_confirmed_since_a_question_by_what_was_read_after_it() {
+    let is_confirmed =
+        |list_age_ms, now_ms| VersionHistory::is_confirmed_since(list_age_ms, 1_000, now_ms);
+    assert!(!is_confirmed(None, 2_000));
+    assert!(!is_confirmed(Some(0), 1_000));
+    assert!(!is_confirmed(Some(0), 1_099));
+    assert!(is_confirmed(Some(0), 1_100));
+    assert!(!is_confirmed(Some(901), 2_000));
+    assert!(is_confirmed(Some(900), 2_000));
+    assert!(!is_confirmed(Some(5_000), 2_000));
+}
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -131,7 +131,7 @@
 /// # Errors
 /// The request is quarantined, continues a stream of an unknown software version, has no endpoint, or
 /// is expected to be late and should be retried after a delay.
-pub(crate) fn choose_and_admit(
+pub(crate) async fn choose_and_admit(
     gateway: &Gateway,
     request: &Request,
     progress: &mut RequestProgress,
@@ -139,7 +139,7 @@
     if suspects::is_quarantined(gateway, request) {
         return Err(Refusal::not_run(Reason::Quarantined));
     }
-    require_version(gateway, request, progress)?;
+    require_version(gateway, request, progress).await?;
     let chosen = choose_endpoint(gateway, request, progress)?;
     // Without prompt parts the prefill time is unknown, so that admission control cannot decide.
     if request.parts.is_empty() {
@@ -178,12 +178,12 @@
 ///
 /// # Errors
 /// That version is not known.
-fn require_version(
+async fn require_version(
     gateway: &Gateway,
     request: &Request,
     progress: &mut RequestProgress,
 ) -> Result<(), Refusal> {
-    match choose_version(gateway, request) {
+    match choose_version(gateway, request).await {
         VersionChoice::Any => Ok(()),
         VersionChoice::Required { version, source } => {
             progress.required_version = Some(version);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -69,7 +69,7 @@
     let admitted = if gateway.has_reached(Phase::Closing) {
         Err(Refusal::not_run(Reason::Stopping).retry_after_ms(0))
     } else {
-        choose_and_admit(gateway, &request, &mut progress)
+        choose_and_admit(gateway, &request, &mut progress).await
     };
     match admitted {
         Ok(()) => serve(gateway, Arc::new(request), progress).await,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,7 +9,7 @@
     store_era::{EraChange, era_after_lost_history},
     store_reads::{FIRST_RESPONSE_WAIT_MS, HubUpdates},
 };
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
     backoff::Backoff,
@@ -28,6 +28,8 @@
 /// Least time between reads of the endpoints' entries. Every heartbeat of an endpoint changes its
 /// entry, so that a long poll would return at once.
 const ENDPOINTS_INTERVAL: Duration = Duration::from_millis(700);
+/// Least time between two reads for requests that wait for a current list.
+const WANTED_READ_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which an instance that gets its updates from the hub checks whether it still does.
 const HUB_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Delay after the first failed read; doubles with each further failure.
@@ -205,6 +207,20 @@
     }
 }
 
+/// Reads the list of endpoints at once, beside [`endpoints`], whenever a request waits for a current one.
+pub(crate) async fn wanted_endpoints<S: Store>(follower: Arc<StoreFollower>, store: Arc<S>) {
+    let topic = Topic::Endpoints;
+    loop {
+        follower.gateway.list_wanted.notified().await;
+        let end = follower.view().end(topic);
+        if let Some(from) = end {
+            let read = read_changes(&follower, &*store, topic, from, Duration::ZERO).await;
+            tracing::debug!(is_read = read.is_ok(), "list of endpoints read for a request");
+        }
+        sleep(WANTED_READ_INTERVAL).await;
+    }
+}
+
 /// Reads a topic as a whole; `history_lost` if the store had no records at the known end.
 async fn read_snapshot<S: Store>(
     follower: &StoreFollower,
@@ -252,7 +268,8 @@
     let changes = Changes { next: changes.next.max(from), era: Some(known_era), ..changes };
     let read = if changes.has_more { Read::Behind } else { Read::Current };
     let (gateway, decoders) = (&follower.gateway, &follower.decoders);
-    if follower.view().apply_changes(gateway, decoders, topic, changes) {
+    let is_applied = follower.view().apply_changes(gateway, decoders, topic, changes);
+    if is_applied && matches!(read, Read::Current) {
         follower.confirm(topic);
     }
     Ok(read)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -49,6 +49,8 @@
     initialized: Notify,
     /// Latest era of the store that was read; 0 if it tells none.
     store_era: watch::Sender<u64>,
+    /// Notified when a request waits for a current list of endpoints.
+    pub(crate) list_wanted: Notify,
     /// When the list of endpoints was last known to be current; 0 before the first read.
     endpoints_confirmed_ms: AtomicU64,
 }
@@ -79,6 +81,7 @@
             version_history: Mutex::new(VersionHistory::new(update_log, clock::now_ms())),
             initialized: Notify::new(),
             store_era: watch::Sender::new(0),
+            list_wanted: Notify::new(),
             endpoints_confirmed_ms: AtomicU64::new(0),
             settings,
         }
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -91,6 +91,7 @@
     let follower = Arc::new(StoreFollower::new(Arc::clone(&gateway), decoders));
     tokio::spawn(follow::configuration(Arc::clone(&follower), Arc::clone(&store)));
     tokio::spawn(follow::endpoints(Arc::clone(&follower), Arc::clone(&store)));
+    tokio::spawn(follow::wanted_endpoints(Arc::clone(&follower), Arc::clone(&store)));
     tokio::spawn(peers::run(Arc::clone(&follower), store));
     tokio::spawn(accept::callers(Arc::clone(&gateway), callers));
     tokio::spawn(accept::readiness(Arc::clone(&gateway), ready));
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -4,21 +4,27 @@
 //! the version that began it. That version is known from the attempt that the caller names, or because no
 //! other was in service for as long as the stream can be old.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use hyper::HeaderMap;
 use tanagergauge_core::{
     Name, Reason,
     begun_streams::StreamKey,
     routing::{RetrySafety, Route},
-    version_history::SoleVersion,
+    version_history::{SoleVersion, VersionHistory},
 };
+use tokio::time::{Instant, sleep};
 
 use crate::{
     clock, gateway::Gateway, header_names::HeaderNames, progress::SHORT_RETRY_MS, request::Request,
     response::Refusal,
 };
 
+/// Longest wait for a list of endpoints that is younger than a request.
+const MAX_LIST_WAIT: Duration = Duration::from_millis(800);
+/// Interval at which the list is looked at meanwhile.
+const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// What a caller says of the stream that it takes up.
 #[derive(Clone, Debug)]
 pub(crate) struct TakeUp {
@@ -69,26 +75,59 @@
     (!id.is_empty() && values.next().is_none()).then(|| Name::from(id))
 }
 
-/// Finds out at which software version a request may run.
-pub(crate) fn choose_version(gateway: &Gateway, request: &Request) -> VersionChoice {
+/// What is known so far of the version at which a request may run.
+enum Finding {
+    /// This does not change.
+    Final(VersionChoice),
+    /// More is known soon; until then this holds.
+    Waiting(VersionChoice),
+}
+
+/// Finds out at which software version a request may run. Where one version alone is known, it waits for a
+/// list of endpoints that is younger than the request, as the stream may have begun at a newer version of
+/// which this instance has not heard.
+pub(crate) async fn choose_version(gateway: &Gateway, request: &Request) -> VersionChoice {
     let Some(take_up) = &request.take_up else { return VersionChoice::Any };
+    let asked_ms = clock::now_ms();
+    let wait_end = request.deadline.min(Instant::now() + MAX_LIST_WAIT);
+    loop {
+        match find_version(gateway, request, take_up, asked_ms) {
+            Finding::Final(choice) => return choice,
+            Finding::Waiting(choice) if Instant::now() >= wait_end => return choice,
+            Finding::Waiting(_) => {
+                gateway.list_wanted.notify_one();
+                sleep(LIST_CHECK_INTERVAL).await;
+            }
+        }
+    }
+}
+
+fn find_version(gateway: &Gateway, request: &Request, take_up: &TakeUp, asked_ms: u64) -> Finding {
     let now_ms = clock::now_ms();
     if let Some(resumes) = &take_up.resumes {
         let key = stream_key(request, resumes);
         if let Some(version) = gateway.begun_streams().version_of(key, now_ms).cloned() {
-            return VersionChoice::Required { version, source: VersionSource::Known };
+            let source = VersionSource::Known;
+            return Finding::Final(VersionChoice::Required { version, source });
         }
     }
     let list_age_ms = gateway.endpoints_age_ms();
     let history = gateway.version_history();
+    let unknown = VersionChoice::Unknown { may_become_known: true };
     match history.sole_version(&request.service, list_age_ms, now_ms) {
-        SoleVersion::One(version) => {
-            VersionChoice::Required { version, source: VersionSource::OnlyVersion }
+        SoleVersion::One(version)
+            if VersionHistory::is_confirmed_since(list_age_ms, asked_ms, now_ms) =>
+        {
+            let source = VersionSource::OnlyVersion;
+            Finding::Final(VersionChoice::Required { version, source })
         }
+        SoleVersion::One(_) => Finding::Waiting(unknown),
         SoleVersion::Several => {
-            VersionChoice::Unknown { may_become_known: take_up.resumes.is_some() }
+            let may_become_known = take_up.resumes.is_some();
+            Finding::Final(VersionChoice::Unknown { may_become_known })
         }
-        SoleVersion::Unknown => VersionChoice::Unknown { may_become_known: true },
+        SoleVersion::Unknown if history.is_loading() => Finding::Waiting(unknown),
+        SoleVersion::Unknown => Finding::Final(unknown),
     }
 }
 
