Keep a silent endpoint without a head or with a buffered body until another has begun

Why it works: who responds first serves the request. A silent endpoint without a head is kept until the other one's head, one whose response has begun for 150 ms after that; if the others refuse, the request waits for its own again. Dead endpoints are replaced after the same time as before (tests a_dead_server_is_given_up_...).

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,8 +25,11 @@
     relay::Relay,
     request::Request,
     response::{Refusal, ResponseBody, end_with_connection},
-    retry::{OpenedResponse, next_response, open_response, record_failure},
-    silence,
+    retry::{
+        Asked, OpenedResponse, SilentPhase, Waited, next_response, open_response, record_failure,
+        wait_or_replace,
+    },
+    silence::BoxFuture,
     stop::Phase,
     suspects, upstream_response,
 };
@@ -205,23 +208,14 @@
 ) -> Result<Served, Refusal> {
     let mut server_error = None;
     loop {
-        let response = match next_response(gateway, request, progress, None).await {
-            Ok(response) => response,
+        let answer = match buffered_answer(gateway, request, progress).await {
+            Ok(answer) => answer,
             Err(refusal) => {
                 let fallback = server_error.map(Served::Buffered);
                 return fallback.ok_or(refusal);
             }
         };
-        let UpstreamResponse { head, framing, body, mut attempt } = response;
-        let reading = attempt::collect_body(gateway, body, request.deadline);
-        let read = silence::wait(gateway, request, progress, &attempt.chosen, reading).await;
-        let bytes = match read.unwrap_or(Err(Failure::Silent)) {
-            Ok(bytes) => bytes,
-            Err(failure) => {
-                record_failure(gateway, request, progress, &attempt, failure);
-                continue;
-            }
-        };
+        let BufferedAnswer { head, framing, bytes, mut attempt } = answer;
         let end = upstream_response::body_end(&head, framing, &bytes);
         attempt.record_first_byte(upstream_response::reported_load(
             &head.headers,
@@ -254,6 +248,54 @@
     }
 }
 
+/// A response that was read completely.
+struct BufferedAnswer {
+    head: response::Parts,
+    framing: Framing,
+    bytes: Bytes,
+    attempt: Attempt,
+}
+
+/// Sends a request to one endpoint after another until a response was read completely.
+///
+/// # Errors
+/// The refusal for the caller.
+async fn buffered_answer(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    progress: &mut RequestProgress,
+) -> Result<BufferedAnswer, Refusal> {
+    loop {
+        let response = next_response(gateway, request, progress, None).await?;
+        let UpstreamResponse { head, framing, body, attempt } = response;
+        let chosen = attempt.chosen.clone();
+        let reading = Box::pin(async move {
+            let read = attempt::collect_body(gateway, body, request.deadline).await;
+            (read, attempt)
+        });
+        let asked = Asked { gateway, request, last_event_id: None };
+        let silent = SilentPhase { endpoint: &chosen, has_begun: true, replace: other_answer };
+        let has_failed = |(read, _): &(Result<Bytes, Failure>, Attempt)| read.is_err();
+        match wait_or_replace(asked, progress, silent, reading, has_failed).await? {
+            Waited::Done((Ok(bytes), attempt)) => {
+                return Ok(BufferedAnswer { head, framing, bytes, attempt });
+            }
+            Waited::Done((Err(failure), attempt)) => {
+                record_failure(gateway, request, progress, &attempt, failure);
+            }
+            Waited::Replaced(answer) => return Ok(answer),
+        }
+    }
+}
+
+/// As [`buffered_answer`], for a response in place of another one.
+fn other_answer<'p>(
+    asked: Asked<'p>,
+    progress: &'p mut RequestProgress,
+) -> BoxFuture<'p, Result<BufferedAnswer, Refusal>> {
+    Box::pin(buffered_answer(asked.gateway, asked.request, progress))
+}
+
 /// Whether a response that may be whole or not counts as broken off, as its endpoint is gone.
 async fn is_broken_off(
     gateway: &Gateway,
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -96,6 +96,12 @@
         self.tried.push(endpoint.clone());
     }
 
+    /// Begins to watch for the next endpoint that begins a success response.
+    pub(crate) fn watch_begun(&mut self) -> Arc<Notify> {
+        self.begun = Arc::default();
+        Arc::clone(&self.begun)
+    }
+
     /// Records that the attempt in progress, if there is one, is not needed any more.
     pub(crate) fn attempt_superseded(&mut self, request: &Request) {
         let Some(chosen) = self.last_choice.clone() else { return };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -350,8 +350,7 @@
         }
         let past_deadline = Instant::now() >= self.request.deadline;
         if self.events.can_resume() && !past_deadline {
-            let begun = Arc::new(Notify::new());
-            self.progress.begun = Arc::clone(&begun);
+            let begun = self.progress.watch_begun();
             let silent = upstream.filter(|_| failure == Failure::Silent);
             let silent = silent.map(|it| SilentUpstream::new(it, begun));
             let cancel = Arc::new(Notify::new());
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -5,7 +5,6 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
-    time::Duration,
 };
 
 use bytes::Bytes;
@@ -13,13 +12,11 @@
 use tanagergauge_core::{
     body_end::Framing, event_forwarder::EventForwarder, send_history::Failure,
 };
-use tokio::{sync::Notify, time::sleep};
+use tokio::sync::Notify;
 
-use crate::{attempt::Attempt, progress::RequestProgress, retry::OpenedResponse};
-
-/// How long a silent endpoint may go on with a stream once another one has begun its response. After it,
-/// two endpoints would work on the same stream.
-const MAX_OVERLAP: Duration = Duration::from_millis(150);
+use crate::{
+    attempt::Attempt, progress::RequestProgress, retry::OpenedResponse, silence::wait_for_stop,
+};
 
 /// Sends the request to another endpoint; the response is absent if that fails.
 pub(crate) type Resuming =
@@ -58,13 +55,9 @@
 }
 
 impl SilentUpstream {
-    /// Keeps the endpoint connected until [`MAX_OVERLAP`] after another one has `begun` its response.
+    /// Keeps the endpoint connected until [`MAX_OVERLAP`](crate::silence::MAX_OVERLAP) after another one has `begun` its response.
     pub(crate) fn new(upstream: Box<Upstream>, begun: Arc<Notify>) -> SilentUpstream {
-        let stop = async move {
-            begun.notified().await;
-            sleep(MAX_OVERLAP).await;
-        };
-        SilentUpstream { upstream, stop: Box::pin(stop) }
+        SilentUpstream { upstream, stop: Box::pin(wait_for_stop(begun)) }
     }
 }
 
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -21,7 +21,7 @@
     progress::{RequestProgress, SHORT_RETRY_MS},
     request::{Request, uniform_hash},
     response::Refusal,
-    silence::{self, Silent},
+    silence::{self, BoxFuture, Overlap, Silent},
     suspects, upstream_response,
 };
 
@@ -64,6 +64,13 @@
     BudgetUsedUp,
 }
 
+/// First bytes of a body, `None` if it broke off, and what they were read from.
+struct Beginning {
+    first: Option<Bytes>,
+    body: Incoming,
+    attempt: Attempt,
+}
+
 /// Sends a request to one endpoint after another until one begins its response.
 ///
 /// # Errors
@@ -76,31 +83,35 @@
 ) -> Result<OpenedResponse, Refusal> {
     loop {
         let response = next_response(gateway, request, progress, last_event_id).await?;
-        let UpstreamResponse { head, framing, mut body, mut attempt } = response;
+        let UpstreamResponse { head, framing, mut body, attempt } = response;
         if head.status.is_server_error() && has_another_attempt(gateway, request, progress) {
             record_failure(gateway, request, progress, &attempt, Failure::Failed);
             continue;
         }
-        if head.status.is_success() {
-            progress.begun.notify_one();
-        }
-        let reading = first_bytes(&mut body);
-        let first = match silence::wait(gateway, request, progress, &attempt.chosen, reading).await
-        {
+        let chosen = attempt.chosen.clone();
+        let reading = Box::pin(async move {
+            let first = first_bytes(&mut body).await;
+            Beginning { first, body, attempt }
+        });
+        let asked = Asked { gateway, request, last_event_id };
+        let silent = SilentPhase { endpoint: &chosen, has_begun: true, replace: reopen_response };
+        let has_failed = |it: &Beginning| it.first.is_none();
+        let waited = wait_or_replace(asked, progress, silent, reading, has_failed);
+        let Beginning { first, body, mut attempt } = match waited.await? {
+            Waited::Done(beginning) => beginning,
+            Waited::Replaced(opened) => return Ok(opened),
+        };
+        let first = match first {
             // Nothing may be left to send after the event at which the stream goes on.
-            Ok(Some(first))
+            Some(first)
                 if last_event_id.is_some() || !is_cut_before_events(&head, framing, &first) =>
             {
                 first
             }
-            Ok(_) => {
+            _ => {
                 record_failure(gateway, request, progress, &attempt, Failure::Broke);
                 continue;
             }
-            Err(Silent) => {
-                record_failure(gateway, request, progress, &attempt, Failure::Silent);
-                continue;
-            }
         };
         attempt.record_first_byte(upstream_response::reported_load(
             &head.headers,
@@ -109,11 +120,97 @@
         progress.first_byte_ms.get_or_insert_with(|| clock::elapsed_ms(request.arrived));
         meters::first_byte(&request.route.name, request.arrived.elapsed());
         let is_event_stream = upstream_response::is_event_stream(&head, &first);
+        progress.set_framing(Some(framing));
         progress.is_event_stream = Some(is_event_stream);
         return Ok(OpenedResponse { head, framing, is_event_stream, first, body, attempt });
     }
 }
 
+/// A request, and the event after which its stream goes on.
+#[derive(Clone, Copy)]
+pub(crate) struct Asked<'r> {
+    pub(crate) gateway: &'r Arc<Gateway>,
+    pub(crate) request: &'r Request,
+    pub(crate) last_event_id: Option<&'r Bytes>,
+}
+
+/// Sends a request to other endpoints in place of a silent one.
+pub(crate) type Replace<T> =
+    for<'p> fn(Asked<'p>, &'p mut RequestProgress) -> BoxFuture<'p, Result<T, Refusal>>;
+
+/// What came of waiting for an endpoint.
+pub(crate) enum Waited<A, T> {
+    /// What was waited for.
+    Done(A),
+    /// The response of another endpoint, which was asked as the first one was silent.
+    Replaced(T),
+}
+
+/// What an endpoint is waited for, and who else can be asked while it is silent.
+pub(crate) struct SilentPhase<'r, T> {
+    pub(crate) endpoint: &'r SelectedEndpoint,
+    /// Whether its response has begun, so that it works on the request.
+    pub(crate) has_begun: bool,
+    pub(crate) replace: Replace<T>,
+}
+
+/// Waits for what an endpoint does next. While it is silent, others are asked; who responds first serves the
+/// request.
+///
+/// # Errors
+/// The refusal for the caller.
+pub(crate) async fn wait_or_replace<A, T>(
+    asked: Asked<'_>,
+    progress: &mut RequestProgress,
+    phase: SilentPhase<'_, T>,
+    mut awaited: BoxFuture<'_, A>,
+    has_failed: impl Fn(&A) -> bool,
+) -> Result<Waited<A, T>, Refusal> {
+    let Asked { gateway, request, .. } = asked;
+    let endpoint = phase.endpoint;
+    loop {
+        match silence::wait(gateway, request, progress, endpoint, awaited.as_mut()).await {
+            Ok(done) => return Ok(Waited::Done(done)),
+            Err(Silent) => silence::record_silent(gateway, request, progress, endpoint),
+        }
+        if Instant::now() >= request.deadline {
+            return Err(deadline_refusal(progress));
+        }
+        let begun = phase.has_begun.then(|| progress.watch_begun());
+        let stop = silence::wait_for_stop_after(begun);
+        match silence::overlap(awaited, (phase.replace)(asked, progress), stop, &has_failed).await {
+            Overlap::WentOn(done) => {
+                silence::record_goes_on(gateway, request, progress, endpoint);
+                return Ok(Waited::Done(done));
+            }
+            Overlap::Replaced(response) => return Ok(Waited::Replaced(response)),
+            Overlap::Refused(refusal) => return Err(refusal),
+            Overlap::Alone(still_awaited) => {
+                silence::record_goes_on(gateway, request, progress, endpoint);
+                awaited = still_awaited;
+            }
+        }
+    }
+}
+
+/// As [`open_response`], for a response in place of another one.
+fn reopen_response<'p>(
+    asked: Asked<'p>,
+    progress: &'p mut RequestProgress,
+) -> BoxFuture<'p, Result<OpenedResponse, Refusal>> {
+    let Asked { gateway, request, last_event_id } = asked;
+    Box::pin(open_response(gateway, request, progress, last_event_id))
+}
+
+/// As [`next_response`], for a response in place of another one.
+fn other_response<'p>(
+    asked: Asked<'p>,
+    progress: &'p mut RequestProgress,
+) -> BoxFuture<'p, Result<UpstreamResponse, Refusal>> {
+    let Asked { gateway, request, last_event_id } = asked;
+    Box::pin(next_response(gateway, request, progress, last_event_id))
+}
+
 /// Whether a stream that ends without an event was broken off: its end is only that of the
 /// connection.
 fn is_cut_before_events(head: &response::Parts, framing: Framing, first: &[u8]) -> bool {
@@ -169,17 +266,22 @@
             None => choose_endpoint(gateway, request, progress)?,
         };
         progress.last_choice = Some(chosen.clone());
+        progress.set_framing(None);
         let sending = attempt::send(gateway, request, chosen.clone(), last_event_id);
-        let sent = silence::wait(gateway, request, progress, &chosen, sending).await;
-        progress
-            .set_framing(sent.as_ref().ok().and_then(|it| it.as_ref().ok()).map(|it| it.framing));
-        match sent {
-            Ok(Ok(response)) => return Ok(response),
-            Ok(Err(failure)) => progress.attempt_failed(request, &chosen.id, failure),
-            Err(Silent) => {
-                attempt::record_failure(gateway, request, &chosen, Failure::Silent);
-                progress.attempt_failed(request, &chosen.id, Failure::Silent);
+        let asked = Asked { gateway, request, last_event_id };
+        let silent = SilentPhase { endpoint: &chosen, has_begun: false, replace: other_response };
+        let sending = Box::pin(sending);
+        let waited = wait_or_replace(asked, progress, silent, sending, Result::is_err);
+        match waited.await? {
+            Waited::Done(Ok(response)) => {
+                progress.set_framing(Some(response.framing));
+                if response.head.status.is_success() {
+                    progress.begun.notify_one();
+                }
+                return Ok(response);
             }
+            Waited::Replaced(response) => return Ok(response),
+            Waited::Done(Err(failure)) => progress.attempt_failed(request, &chosen.id, failure),
         }
     }
 }
