Count a silent endpoint as recovered only if it went on

An endpoint for which a request waits again, because the others refused, was counted as sound, although it had done nothing. Found by reading the diff; it would have delayed the notice of a dead endpoint of which nobody takes requests over. silent_replacement and silent_endpoint pass as before.

--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -180,13 +180,14 @@
         let stop = silence::wait_for_stop_after(begun);
         match silence::overlap(awaited, (phase.replace)(asked, progress), stop, &has_failed).await {
             Overlap::WentOn(done) => {
-                silence::record_goes_on(gateway, request, progress, endpoint);
+                silence::record_stays(request, progress, endpoint);
+                attempt::record_recovered(gateway, &endpoint.id);
                 return Ok(Waited::Done(done));
             }
             Overlap::Replaced(response) => return Ok(Waited::Replaced(response)),
             Overlap::Refused(refusal) => return Err(refusal),
             Overlap::Alone(still_awaited) => {
-                silence::record_goes_on(gateway, request, progress, endpoint);
+                silence::record_stays(request, progress, endpoint);
                 awaited = still_awaited;
             }
         }
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -101,9 +101,8 @@
     progress.attempt_failed(request, &endpoint.id, Failure::Silent);
 }
 
-/// Records that a silent endpoint went on, or is waited for again.
-pub(crate) fn record_goes_on(
-    gateway: &Gateway,
+/// Records that a request stays at its silent endpoint, which went on or is waited for again.
+pub(crate) fn record_stays(
     request: &Request,
     progress: &mut RequestProgress,
     endpoint: &SelectedEndpoint,
@@ -111,7 +110,6 @@
     tracing::info!(request = %request.id, endpoint = %endpoint.id, "the request stays at its silent endpoint");
     progress.attempt_superseded(request);
     progress.attempt_goes_on(endpoint, Failure::Silent);
-    attempt::record_recovered(gateway, &endpoint.id);
 }
 
 /// Waits for a silent endpoint and for the one that is asked in its place, until `stop` tells the silent one
