Split the pool of endpoints by settings, endpoint and target

How an endpoint is chosen, one endpoint's state and one target's reserve are modules of their own now; all paths from outside are as before. No behaviour has changed.

--- a/crates/core/src/endpoint_pool.rs
+++ b/crates/core/src/endpoint_pool/mod.rs
@@ -1,98 +1,26 @@
 //! The endpoints known to an instance, with their load, performance and availability.
 
+mod endpoint;
+mod settings;
+mod target;
+
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
-use strum::{Display, EnumString};
 
 use crate::{
     Name,
     admission::Capacity,
     endpoint_performance::{EjectionState, EndpointPerformance},
-    load_estimate::LoadEstimate,
-    sheet::{Sheet, TargetKind},
+    sheet::Sheet,
 };
 
-/// Time between tokens assumed for an endpoint that was not observed yet, in milliseconds.
-const DEFAULT_TOKEN_MS: f64 = 20.0;
-
-/// Time to the first token assumed for an endpoint that was not observed yet, in milliseconds.
-const DEFAULT_FIRST_TOKEN_MS: f64 = 150.0;
-
-/// How long after its last request a tier still has slots reserved for it, in milliseconds.
-const DEMAND_TTL_MS: u64 = 30_000;
+pub use endpoint::Endpoint;
+pub use settings::{EndpointPoolSettings, RoutingPolicy};
+pub use target::target_name;
+pub(crate) use target::{KnownFull, Target};
 
 /// Approximate number of a target's endpoints from which its capacity is extrapolated.
 const CAPACITY_SAMPLE: usize = 32;
 
-/// Upper limit of the part of the reserve that depends on how often a tier waits, in percent of an
-/// endpoint's slots.
-const MAX_WAIT_RESERVE_PERCENT: f64 = 60.0;
-
-/// Number of higher tiers for which the base reserve adds up.
-const MAX_BASE_RESERVE_TIERS: f64 = 3.0;
-
-/// Upper limit of the slots of an endpoint that are reserved for higher tiers, in percent.
-const MAX_RESERVE_PERCENT: f64 = 75.0;
-
-/// Increase of a tier's wait reserve for each request that had to wait for a slot, in percent.
-const WAIT_RESERVE_INCREASE_PERCENT: f64 = 3.0;
-
-/// Decrease of a tier's wait reserve for each request that did not wait, in percent.
-const WAIT_RESERVE_DECREASE_PERCENT: f64 = 0.3;
-
-/// Number of tiers whose demand is tracked separately; lower ones share the last entry.
-const MAX_TIERS: usize = 16;
-
-/// How an endpoint is chosen for a request.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, Serialize, Deserialize,
-)]
-#[strum(serialize_all = "kebab-case")]
-#[serde(rename_all = "kebab-case")]
-pub enum RoutingPolicy {
-    /// The next endpoint in turn, whatever its load.
-    RoundRobin,
-    /// The endpoint with the lowest load in its last report.
-    LeastLoad,
-    /// The endpoint with the lowest estimated cost by load, performance, cached prefixes and
-    /// transfer prices.
-    #[default]
-    Full,
-}
-
-/// Settings of an [`EndpointPool`].
-#[derive(Clone, Debug)]
-pub struct EndpointPoolSettings {
-    /// How an endpoint is chosen for a request.
-    pub routing: RoutingPolicy,
-    /// Part of an endpoint's slots reserved for each higher tier that has recent demand, in
-    /// percent.
-    pub reserve_percent: u32,
-    /// Requests that the highest tier with demand may send beyond an endpoint's slots, in percent
-    /// of the slots.
-    pub overcommit_percent: u32,
-    /// Part of its first-token target for which a request waits for a slot in the local region
-    /// before it is sent to a region with a transfer price, in percent.
-    pub remote_wait_percent: u64,
-    /// An endpoint is ejected if its time between tokens exceeds this multiple of the median.
-    pub outlier_factor: f64,
-    /// Latency that counts as much as one unit of currency, in milliseconds.
-    pub price_weight_ms: f64,
-}
-
-impl Default for EndpointPoolSettings {
-    fn default() -> EndpointPoolSettings {
-        EndpointPoolSettings {
-            routing: RoutingPolicy::Full,
-            reserve_percent: 40,
-            overcommit_percent: 25,
-            remote_wait_percent: 50,
-            outlier_factor: 3.0,
-            price_weight_ms: 100_000.0,
-        }
-    }
-}
-
 /// Index of an endpoint in an [`EndpointPool`]; stable while the endpoint is in the sheet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EndpointIndex(pub usize);
@@ -108,67 +36,6 @@
     region: Name,
 }
 
-/// State of one endpoint.
-#[derive(Clone, Debug)]
-pub struct Endpoint {
-    /// Name in the sheet.
-    pub name: Name,
-    /// Whether it serves models or plain services.
-    pub kind: TargetKind,
-    /// Requests that it runs concurrently without queueing; at least 1.
-    pub slots: u32,
-    /// Estimated number of requests, from load reports and changes since.
-    pub load: LoadEstimate,
-    /// Latency averages and ejection state.
-    pub performance: EndpointPerformance,
-    /// When it went down; `None` if it has responded since.
-    down_since_ms: Option<u64>,
-    /// Requests from peer instances, as last reported by them.
-    peer_requests: u32,
-    /// Whether it is leaving and accepts no new requests.
-    pub leaving: bool,
-    /// Whether it is missing from the current sheet.
-    pub removed: bool,
-    /// Transfer price per 10^9 bytes to the endpoint.
-    pub(crate) request_price: f64,
-    /// Transfer price per 10^9 bytes from the endpoint.
-    pub(crate) response_price: f64,
-    /// Whether it is in the region of this instance.
-    pub(crate) is_local: bool,
-    /// Indexes in [`EndpointPool::targets`] of what it serves.
-    pub(crate) targets: Vec<usize>,
-}
-
-/// The endpoints that serve one model or service, and the demand for it.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Target {
-    /// Endpoints in the region of this instance.
-    pub(crate) local: Vec<EndpointIndex>,
-    /// Endpoints in other regions.
-    pub(crate) remote: Vec<EndpointIndex>,
-    /// Time of each tier's last request, by rank; 0 for none.
-    last_demand_ms: [u64; MAX_TIERS],
-    /// Additional reserve by tier rank, which grows as requests of the tier have to wait for a
-    /// slot; from 0 to [`MAX_WAIT_RESERVE_PERCENT`].
-    wait_reserve_percent: [f64; MAX_TIERS],
-    /// Position of the next endpoint for [`RoutingPolicy::RoundRobin`].
-    pub(crate) round_robin_next: usize,
-    /// Tiers for which no endpoint had room; reset when one of the endpoints changes.
-    pub(crate) full: KnownFull,
-}
-
-/// Cached result that a target has no room for some tiers, whatever the request.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct KnownFull {
-    /// Rank of the highest tier without room for [`crate::queue::DispatchRule::Strict`]; lower
-    /// tiers have none either.
-    pub(crate) from_rank: Option<usize>,
-    /// Whether there was no room for [`crate::queue::DispatchRule::Floor`].
-    pub(crate) floor: bool,
-    /// Expiry, because time alone may make room, as at the end of an ejection.
-    pub(crate) until_ms: u64,
-}
-
 impl EndpointPool {
     /// Creates a pool with the endpoints of a sheet, for an instance in the given availability
     /// zone.
@@ -448,77 +315,6 @@
     }
 }
 
-impl Endpoint {
-    fn with_defaults(name: Name) -> Endpoint {
-        Endpoint {
-            name,
-            kind: TargetKind::Model,
-            slots: 1,
-            load: LoadEstimate::default(),
-            performance: EndpointPerformance::new(DEFAULT_TOKEN_MS, DEFAULT_FIRST_TOKEN_MS),
-            down_since_ms: None,
-            peer_requests: 0,
-            leaving: false,
-            removed: false,
-            request_price: 0.0,
-            response_price: 0.0,
-            is_local: true,
-            targets: Vec::new(),
-        }
-    }
-
-    /// Slots that may be used at `now_ms`; 0 if the endpoint is leaving, removed or ejected.
-    pub fn usable_slots(&self, now_ms: u64) -> u32 {
-        if self.leaving || self.removed {
-            return 0;
-        }
-        match self.performance.usable_percent(now_ms) {
-            0 => 0,
-            percent => (u64::from(self.slots) * percent / 100).max(1) as u32,
-        }
-    }
-}
-
-impl Target {
-    /// Records that a tier requests the target.
-    pub(crate) fn record_demand(&mut self, rank: usize, now_ms: u64) {
-        self.last_demand_ms[rank.min(MAX_TIERS - 1)] = now_ms;
-    }
-
-    /// Records whether a request of a tier had to wait for a slot.
-    pub(crate) fn record_wait(&mut self, rank: usize, waited: bool) {
-        let reserve = &mut self.wait_reserve_percent[rank.min(MAX_TIERS - 1)];
-        let step =
-            if waited { WAIT_RESERVE_INCREASE_PERCENT } else { -WAIT_RESERVE_DECREASE_PERCENT };
-        *reserve = (*reserve + step).clamp(0.0, MAX_WAIT_RESERVE_PERCENT);
-    }
-
-    /// Part of the slots that a tier must leave to higher tiers with recent demand for the target,
-    /// in percent: `base_percent` for each of them, plus a part that grows with how often they
-    /// wait.
-    pub(crate) fn reserve_percent(&self, rank: usize, base_percent: f64, now_ms: u64) -> f64 {
-        let (mut base, mut for_waits) = (0.0, 0.0);
-        for higher in 0..rank.min(MAX_TIERS) {
-            let demand_ms = self.last_demand_ms[higher];
-            if demand_ms > 0 && now_ms.saturating_sub(demand_ms) <= DEMAND_TTL_MS {
-                base += base_percent;
-                for_waits += self.wait_reserve_percent[higher];
-            }
-        }
-        let max_base = MAX_BASE_RESERVE_TIERS * base_percent;
-        (f64::min(base, max_base) + for_waits).min(MAX_RESERVE_PERCENT)
-    }
-}
-
-/// Name of the target for a model or a plain service. The prefix keeps services apart from
-/// models, whose names contain no colon.
-pub fn target_name(kind: TargetKind, name: &Name) -> Name {
-    match kind {
-        TargetKind::Model => name.clone(),
-        TargetKind::Service => Name::from(format!("service:{name}")),
-    }
-}
-
 /// Median time between tokens of the endpoints with enough samples, the lower one of two middle
 /// values; `None` for fewer than two endpoints.
 fn median_token_ms(endpoints: &[Endpoint], members: &[EndpointIndex]) -> Option<f64> {
