Read a request to its end before it is refused while its body arrives

What callers saw: a request whose body was still arriving was refused with the rest of it unread, and its connection closed, so that the caller could not send the rest (broken pipe) and might never read the refusal. It was so for a body beyond maxBodyBytes, which a later configuration may have made smaller than the one that the caller knows; for a body for which there is no memory beside others; and at an instance that knows no configuration yet.

Now the rest of the body is read and dropped in each of these cases, for a second and 8 MiB at most; then the refusal is sent, and the connection is kept.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -30,8 +30,11 @@
     take_up::{TakeUp, VersionChoice, VersionSource, choose_version, unknown_version_refusal},
 };
 
-/// Time-out for reading the body of a request that is refused by its head.
+/// Time-out for reading the rest of the body of a request that is refused before it has arrived.
 const REFUSED_BODY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Most bytes of it that are read. An earlier configuration may have allowed larger bodies than the current
+/// one.
+const MAX_REFUSED_BODY_BYTES: usize = 8 << 20;
 
 /// A request that was refused before it was complete and had a route.
 pub(crate) struct Refused {
@@ -67,11 +70,12 @@
     let id = Name::from(id);
     let refuse = |refusal: Refusal| Refused { id: id.clone(), refusal };
     let Some(configuration) = gateway.configuration() else {
-        return Err(refuse(Refusal::not_run(Reason::NotReady).retry_after_ms(SHORT_RETRY_MS)));
+        let refusal = Refusal::not_run(Reason::NotReady).retry_after_ms(SHORT_RETRY_MS);
+        return Err(refuse(refuse_after(body, refusal).await));
     };
     let (route, identity) = match authenticate(&configuration, &head) {
         Ok(found) => found,
-        Err(reason) => return Err(refuse(refuse_by_head(body, &configuration, reason).await)),
+        Err(reason) => return Err(refuse(refuse_after(body, Refusal::not_run(reason)).await)),
     };
     let allowed = Duration::from_millis(route.timeout_ms);
     let time_left = request::time_left(&head, names).unwrap_or(allowed).min(allowed);
@@ -217,31 +221,38 @@
     }
 }
 
-/// Refuses a request once its body has been read. Unread, it would close the connection while the caller
-/// still sends, and the caller may not read the refusal then.
-async fn refuse_by_head(body: Incoming, configuration: &Configuration, reason: Reason) -> Refusal {
-    let mut body = Limited::new(body, configuration.limits.body_bytes);
+/// Refuses a request once its body has been read.
+async fn refuse_after(mut body: Incoming, refusal: Refusal) -> Refusal {
+    discard_body(&mut body).await;
+    refusal
+}
+
+/// Reads the rest of the body of a request that is refused. Unread, it would close the connection while the
+/// caller still sends, and the caller may not read the refusal then.
+async fn discard_body(body: &mut Incoming) {
+    let mut body = Limited::new(body, MAX_REFUSED_BODY_BYTES);
     let reading = async { while let Some(Ok(_)) = body.frame().await {} };
     // A caller that takes longer is refused all the same.
     let _ = timeout(REFUSED_BODY_TIMEOUT, reading).await;
-    Refusal::not_run(reason)
 }
 
 async fn read_body(
     gateway: &Gateway,
-    body: Incoming,
+    mut body: Incoming,
     limit_bytes: usize,
     deadline: Instant,
 ) -> Result<Bytes, Reason> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let collecting = body_memory::collect(&gateway.body_memory, body, limit_bytes);
-    match timeout_at(deadline, collecting).await {
-        Err(_) => Err(Reason::BodyTimeout),
-        Ok(Ok(bytes)) => Ok(bytes),
-        Ok(Err(CollectError::TooLarge)) => Err(Reason::BodyTooLarge),
-        Ok(Err(CollectError::NoMemory)) => Err(Reason::QueueFull),
-        Ok(Err(CollectError::Broke)) => Err(Reason::Malformed),
-    }
+    let collecting = body_memory::collect(&gateway.body_memory, &mut body, limit_bytes);
+    let reason = match timeout_at(deadline, collecting).await {
+        Err(_) => return Err(Reason::BodyTimeout),
+        Ok(Ok(bytes)) => return Ok(bytes),
+        Ok(Err(CollectError::Broke)) => return Err(Reason::Malformed),
+        Ok(Err(CollectError::TooLarge)) => Reason::BodyTooLarge,
+        Ok(Err(CollectError::NoMemory)) => Reason::QueueFull,
+    };
+    discard_body(&mut body).await;
+    Err(reason)
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -343,10 +343,10 @@
 /// The body broke off, takes too much memory, or did not end before `deadline`.
 pub(crate) async fn collect_body(
     gateway: &Gateway,
-    body: Incoming,
+    mut body: Incoming,
     deadline: Instant,
 ) -> Result<Bytes, Failure> {
-    let collecting = body_memory::collect(&gateway.body_memory, body, MAX_BODY_BYTES);
+    let collecting = body_memory::collect(&gateway.body_memory, &mut body, MAX_BODY_BYTES);
     match timeout_at(deadline, collecting).await {
         Err(_) => Err(Failure::Silent),
         Ok(Ok(bytes)) => Ok(bytes),
--- a/crates/gateway/src/body_memory.rs
+++ b/crates/gateway/src/body_memory.rs
@@ -72,13 +72,14 @@
     }
 }
 
-/// Reads a body completely. Its memory stays reserved until the last copy of the bytes is dropped.
+/// Reads a body completely. Its memory stays reserved until the last copy of the bytes is dropped. What
+/// follows an error stays unread.
 ///
 /// # Errors
 /// The body exceeds `limit_bytes`, takes more memory than there is, or broke off.
 pub(crate) async fn collect(
     memory: &Arc<BodyMemory>,
-    mut body: Incoming,
+    body: &mut Incoming,
     limit_bytes: usize,
 ) -> Result<Bytes, CollectError> {
     let mut reservation = Reservation { memory: Arc::clone(memory), bytes: 0 };
