Ask a silent endpoint for the end of a stream that another one sent without framing

Cause: callers had been promised chunks, and at the end of an answer without framing only another endpoint can tell whether the stream is whole. The attempts of the route were used up by the silent endpoint and the one that took over, so that nobody was asked.

Now an endpoint that was only silent is asked again after the last event, where no further endpoint may be. It is no further endpoint (attempts bounds these), the two work one after the other, and it takes a retry of the budget, which is secured before the silent endpoint is given up. Where that fails, or the silent endpoint may not be asked later, the stream stays with it.

Events come as early as before beside a dead endpoint (test); its caller is now cut at its deadline, where it was at once.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -323,6 +323,29 @@
         best.map(|it| it.selected).ok_or(NoEndpoint::Exhausted)
     }
 
+    /// Selects an endpoint that the request was sent to before, whatever its health is. `None` if it may
+    /// not take the request by its version, what it asked for or its limit, or does not serve any more.
+    pub fn choose_again(
+        &self,
+        query: &EndpointQuery<'_>,
+        id: &Name,
+        now_ms: u64,
+    ) -> Option<SelectedEndpoint> {
+        let it = self.endpoints.get(id)?;
+        let serves = it.info.service == *query.service && !is_leaving(it, &self.notices);
+        let is_version =
+            query.software_version.is_none_or(|version| it.info.software_version == *version);
+        let is_open = self.endpoint_backoff_ms(it, now_ms) == 0;
+        let is_permitted = self.limits.permission(id, query.unix_ms) != Permission::Wait;
+        if !(serves && is_version && is_open && is_permitted) {
+            return None;
+        }
+        let affinity = self.prefix_affinity(query, &[it], now_ms);
+        let shortest_service_ms = it.service_ms;
+        let context = CostContext { affinity, reserved_share: 0.0, shortest_service_ms };
+        Some(self.cost(it, query, &context, now_ms).selected)
+    }
+
     /// Endpoints of the service that the request was not sent to yet.
     fn untried(
         &self,
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -273,6 +273,41 @@
     assert_eq!(choose(&balancer, 0, &[]), Err(NoEndpoint::NoneOfVersion));
 }
 
+/// An endpoint that the request was sent to before is selected again whatever its health is, unless it may
+/// not take the request.
+#[test]
+fn an_endpoint_is_chosen_again_unless_it_may_not_take_the_request() {
+    let service = Name::from(SERVICE);
+    let mut balancer = balancer(2);
+    let id = endpoint_info(0).id;
+    for at_ms in 0..100 {
+        balancer.health_mut(&id).expect("an engine").record_failure(at_ms);
+    }
+    let tried = [endpoint_info(1).id];
+    let query = query(&service, &[], &tried);
+    assert!(balancer.choose(&query, 100).is_err(), "it is paused");
+    let choose_again = |balancer: &Balancer, query: &EndpointQuery<'_>| {
+        balancer.choose_again(query, &id, 100).map(|it| it.id)
+    };
+    assert_eq!(choose_again(&balancer, &query), Some(id.clone()));
+    let (other_service, other_version) = (Name::from("other"), Name::from("v9"));
+    let other = EndpointQuery { service: &other_service, ..query.clone() };
+    assert_eq!(choose_again(&balancer, &other), None);
+    let other = EndpointQuery { software_version: Some(&other_version), ..query.clone() };
+    assert_eq!(choose_again(&balancer, &other), None);
+    let selected = balancer.choose_again(&query, &id, 100).expect("an engine");
+    let mut asked_for_time = balancer.clone();
+    asked_for_time.record_backoff(&selected, 1_000, 100);
+    assert_eq!(choose_again(&asked_for_time, &query), None);
+    let mut limited = balancer.clone();
+    limited.limits_mut().record_response(&id, Some(0.0), 100, 0);
+    assert_eq!(choose_again(&limited, &query), None);
+    balancer.set_leaving(&id);
+    assert_eq!(choose_again(&balancer, &query), None);
+    assert!(balancer.remove(&id));
+    assert_eq!(choose_again(&balancer, &query), None);
+}
+
 /// An endpoint that fails some of its requests while its status check is good.
 #[test]
 fn a_failing_endpoint_is_avoided() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod socket;
 mod stop;
 mod store;
+mod stream_end;
 mod suspects;
 mod take_up;
 mod upstream_response;
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -34,6 +34,8 @@
     pub(crate) send_history: SendHistory,
     /// Endpoints of failed attempts.
     pub(crate) tried: SmallVec<[Name; 2]>,
+    /// Endpoints that were silent and whose request was moved to another one.
+    pub(crate) silent: SmallVec<[Name; 2]>,
     /// Version of the software that has to continue the stream; `None` if any may begin it.
     pub(crate) required_version: Option<Name>,
     /// How it is known which version that is; `None` if the caller takes up no stream.
@@ -42,6 +44,8 @@
     pub(crate) preselected: Option<SelectedEndpoint>,
     /// The next attempt has been granted and taken from the retry budget.
     pub(crate) holds_retry: bool,
+    /// A retry was taken from the retry budget to ask for the end of the stream.
+    pub(crate) holds_end_retry: bool,
     /// Notified when an endpoint has begun a success response.
     pub(crate) begun: Arc<Notify>,
     /// The latest choice of an endpoint.
@@ -94,6 +98,9 @@
         self.send_history.record_failure(failure);
         self.last_failure = Some(failure);
         self.tried.push(endpoint.clone());
+        if failure == Failure::Silent {
+            self.silent.push(endpoint.clone());
+        }
     }
 
     /// Begins to watch for the next endpoint that begins a success response.
@@ -113,6 +120,7 @@
     /// Takes back a failed attempt: its endpoint has not been told to stop and may go on.
     pub(crate) fn attempt_goes_on(&mut self, endpoint: &SelectedEndpoint, failure: Failure) {
         self.send_history.retract_failure(failure);
+        self.silent.retain(|it| *it != endpoint.id);
         self.last_choice = Some(endpoint.clone());
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,7 +36,7 @@
     resumption::{Resuming, Resumption, SilentStep, SilentUpstream, Upstream},
     retry::{self, OpenedResponse, open_response},
     silence::REPLACE_INTERVAL,
-    suspects, take_up,
+    stream_end, suspects, take_up,
 };
 
 /// Time without an event after which a resumable stream counts as stalled, as a multiple of the route's
@@ -160,7 +160,7 @@
                     let (progress, opened) = ready!(resumption.poll(cx));
                     let (failure, silent) = (resumption.failure, resumption.silent.take());
                     self.progress = progress;
-                    match opened.and_then(|it| self.accept(it)) {
+                    match opened.and_then(|it| self.accept(it, silent.is_some())) {
                         Some(opened) => self.continue_with(opened),
                         None => self.continue_without(failure, silent, cx),
                     }
@@ -453,16 +453,24 @@
     }
 
     /// Returns a response if it continues the stream. An endpoint whose response does not may have run the
-    /// request, and is not asked again.
-    fn accept(&mut self, opened: OpenedResponse) -> Option<OpenedResponse> {
-        if self.can_continue_with(&opened) {
+    /// request, and is not asked again. With `has_own` the endpoint that fell silent is still connected.
+    fn accept(&mut self, opened: OpenedResponse, has_own: bool) -> Option<OpenedResponse> {
+        let failure = if !self.can_continue_with(&opened) {
+            Failure::BadAnswer
+        } else if has_own && !self.secure_end(opened.framing) {
+            Failure::EndUnknown
+        } else {
             return Some(opened);
-        }
+        };
         let endpoint = &opened.attempt.chosen.id;
-        self.progress.attempt_failed(&self.request, endpoint, Failure::BadAnswer);
+        self.progress.attempt_failed(&self.request, endpoint, failure);
         None
     }
 
+    fn secure_end(&mut self, framing: Framing) -> bool {
+        stream_end::is_secured(&self.gateway, &self.request, &mut self.progress, framing)
+    }
+
     /// Whether a response is a success and has the same kind of content as the stream.
     fn can_continue_with(&self, opened: &OpenedResponse) -> bool {
         if !opened.head.status.is_success() {
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -22,7 +22,7 @@
     request::{Request, uniform_hash},
     response::Refusal,
     silence::{self, BoxFuture, Overlap, Silent},
-    suspects, upstream_response,
+    stream_end, suspects, upstream_response,
 };
 
 /// Time-out of an attempt that can be retried, as a multiple of the request's first-byte goal.
@@ -301,6 +301,10 @@
             true
         }
         denied => {
+            let is_quarantined = denied == RetryDecision::Quarantined;
+            if !is_quarantined && stream_end::try_ask(gateway, request, progress) {
+                return true;
+            }
             tracing::info!(request = %request.id, %failure, decision = %denied, "request is not sent again");
             false
         }
@@ -363,7 +367,8 @@
 ) -> Result<SelectedEndpoint, Refusal> {
     progress.list_age_ms = gateway.endpoints_age_ms().unwrap_or(u64::MAX);
     let version = progress.required_version.as_ref();
-    let chosen = select_endpoint(gateway, request, &progress.tried, version);
+    let chosen = select_endpoint(gateway, request, &progress.tried, version)
+        .or_else(|it| stream_end::choose_again(gateway, request, progress).ok_or(it));
     if let (Err(error), Some(failure)) = (&chosen, progress.last_failure) {
         let software_version = progress.required_version.as_deref();
         tracing::info!(request = %request.id, %failure, decision = %error, software_version, "request is not sent again");
@@ -391,7 +396,17 @@
     tried: &[Name],
     software_version: Option<&Name>,
 ) -> Result<SelectedEndpoint, NoEndpoint> {
-    let query = EndpointQuery {
+    let query = endpoint_query(request, tried, software_version);
+    gateway.balancer().choose(&query, clock::now_ms())
+}
+
+/// What the selection of an endpoint for a request depends on.
+pub(crate) fn endpoint_query<'a>(
+    request: &'a Request,
+    tried: &'a [Name],
+    software_version: Option<&'a Name>,
+) -> EndpointQuery<'a> {
+    EndpointQuery {
         service: &request.service,
         parts: &request.parts,
         tried,
@@ -400,8 +415,7 @@
         may_probe: request.route.retry_safety.allows_resend(),
         random: uniform_hash(&request.id),
         unix_ms: clock::unix_ms(),
-    };
-    gateway.balancer().choose(&query, clock::now_ms())
+    }
 }
 
 /// Whether the route allows another attempt if the current one failed.
