Forward no event whose number does not follow the stream

What callers saw: in one answer, event numbers that went back or came twice, where an endpoint that was to go on after an event began at it, before it or at the first one; a stream begun anew behind events without a number.

Cause: the gateway joined two responses on the assumption that the second one goes on after `Last-Event-Id`, and never compared the numbers of events. After events without a number it asked with the last number or with none.

Now ids that are decimal numbers have to increase, in one response and across endpoints, with gaps or without. The first event of a continuation needs an id; one that repeats the last id is no continuation. Nothing of a wrong event is forwarded where events are held back: the attempt counts as `bad_answer`, and another endpoint is asked after the last good event while attempts are left. Otherwise, and on routes that resume nothing, the caller sees the stream broken off. The same holds for a stream that its caller takes up. A stream whose last event has no id is broken off visibly. A response that is no continuation no longer ends the search, and a silent endpoint goes on where all others are wrong.

Ids that are no numbers, or have more than 38 digits, are not compared. Numbers are compared in the core, line by line and without an allocation for each event.

Logs: `stream broke` has `last_event_id`; new lines tell with which number the next endpoint began (`first_event_id`, `after_event_id`) and why a response or an event was rejected (`mismatch`, `order_fault`).

--- a/crates/core/src/sse_framer.rs
+++ b/crates/core/src/sse_framer.rs
@@ -3,6 +3,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::event_order::{EventLine, EventOrder, OrderFault};
+
 /// Maximum size of a buffered incomplete event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -15,7 +17,17 @@
 /// What a line of an event begins with.
 const FIELD_STARTS: [&[u8]; 5] = [b"id:", b"data:", b"event:", b"retry:", b":"];
 
-/// Passes on complete events only and tracks the id of the last one.
+/// Where a response continued a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Junction {
+    /// Id of the last event before it; `None` if the caller had that event from an earlier attempt.
+    pub after_id: Option<Bytes>,
+    /// Id of the first event of the response that has one.
+    pub first_id: Bytes,
+}
+
+/// Passes on complete events only, tracks the id of the last one and checks that each follows those before
+/// it.
 ///
 /// Events end with an empty line. Lines end with LF or CR LF.
 #[derive(Clone, Debug, Default)]
@@ -26,16 +38,36 @@
     last_id: Option<Bytes>,
     /// Number of complete events passed on.
     event_count: u64,
+    /// The body is no stream of events, so that its blocks have no order.
+    has_no_order: bool,
+    order: EventOrder,
+    /// Where a response continued the stream, until it is taken.
+    junction: Option<Junction>,
+    /// Why no more events are passed on.
+    fault: Option<OrderFault>,
 }
 
 impl SseFramer {
-    /// Adds bytes of the stream and returns the events that are now complete.
+    /// A stream from its first event on, or after the event that its caller has.
+    pub fn new(last_event_id: Option<&[u8]>) -> SseFramer {
+        SseFramer { order: EventOrder::new(last_event_id), ..SseFramer::default() }
+    }
+
+    /// Blocks of a body that is no stream of events.
+    pub fn of_blocks() -> SseFramer {
+        SseFramer { has_no_order: true, ..SseFramer::default() }
+    }
+
+    /// Adds bytes of the stream and returns the events that are now complete. From an event on that does
+    /// not follow those before it, nothing is returned.
     pub fn push(&mut self, bytes: Bytes) -> Bytes {
+        if self.fault.is_some() {
+            return Bytes::new();
+        }
         if self.partial.is_empty() {
             let complete_len = complete_len(&bytes);
             if complete_len == bytes.len() {
-                self.record_events(&bytes);
-                return bytes;
+                return self.record_events(bytes);
             }
         }
         // What came before ends no event, so that an end begins with its last bytes at most.
@@ -46,13 +78,29 @@
             len => searched_len + len,
         };
         let events = self.partial.split_to(complete_len).freeze();
-        self.record_events(&events);
-        events
+        self.record_events(events)
     }
 
-    /// Drops the incomplete event, after the stream broke.
+    /// Drops the incomplete event, after the stream broke. Another endpoint may continue the stream.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.order.restart();
+        self.fault = None;
+    }
+
+    /// Why no more events are passed on.
+    pub fn fault(&self) -> Option<OrderFault> {
+        self.fault
+    }
+
+    /// Whether another endpoint can continue the stream after the events passed on.
+    pub fn can_continue(&self) -> bool {
+        self.order.can_continue()
+    }
+
+    /// Removes and returns where the latest response continued the stream.
+    pub fn take_junction(&mut self) -> Option<Junction> {
+        self.junction.take()
     }
 
     /// Removes and returns the bytes after the last complete event, after the stream ended cleanly.
@@ -80,19 +128,53 @@
         self.event_count
     }
 
-    fn record_events(&mut self, events: &Bytes) {
+    /// Records complete events; returns those that follow each other.
+    fn record_events(&mut self, events: Bytes) -> Bytes {
+        if self.has_no_order {
+            return events;
+        }
         let mut line_start = 0;
-        for end in positions_of(events, b'\n') {
+        let mut event_start = 0;
+        let mut event_id = None;
+        for end in positions_of(&events, b'\n') {
             let line = &events[line_start..end];
             let line = line.strip_suffix(b"\r").unwrap_or(line);
-            if line.is_empty() {
-                self.event_count += 1;
+            line_start = end + 1;
+            let continues = self.order.must_continue();
+            match self.check_line(line) {
+                Ok(EventLine::Id(id)) => event_id = Some(events.slice_ref(id)),
+                Ok(EventLine::Other) => {}
+                Ok(EventLine::End) => {
+                    self.event_count += 1;
+                    event_start = line_start;
+                    self.record_id(event_id.take(), continues);
+                }
+                Err(fault) => {
+                    self.fault = Some(fault);
+                    return events.slice(..event_start);
+                }
             }
-            if let Some(id) = line.strip_prefix(b"id:") {
-                let id = id.trim_ascii();
-                self.last_id = Some(events.slice_ref(id));
+        }
+        events
+    }
+
+    fn check_line<'l>(&mut self, line: &'l [u8]) -> Result<EventLine<'l>, OrderFault> {
+        let continues = self.order.must_continue();
+        match self.order.push_line(line)? {
+            EventLine::Id(id) if continues && self.last_id.as_deref() == Some(id) => {
+                Err(OrderFault::SameId)
             }
-            line_start = end + 1;
+            checked => Ok(checked),
+        }
+    }
+
+    /// Records the id of a complete event. `continues` is whether it is the first one of a response that
+    /// continues the stream.
+    fn record_id(&mut self, id: Option<Bytes>, continues: bool) {
+        let Some(id) = id else { return };
+        let after_id = self.last_id.replace(id.clone());
+        if continues {
+            self.junction = Some(Junction { after_id, first_id: id });
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,44 +7,33 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
-    time::Duration,
 };
 
 use bytes::Bytes;
-use hyper::{
-    body::{Body, Incoming},
-    header::{CONTENT_TYPE, HeaderValue},
-};
+use hyper::body::{Body, Incoming};
 use tanagergauge_core::{
     Outcome, Reason,
     body_end::{BodyEnd, Framing},
     event_forwarder::EventForwarder,
+    event_order::OrderFault,
     send_history::Failure,
 };
-use tokio::{
-    sync::Notify,
-    time::{Instant, Sleep, sleep_until},
-};
+use tokio::{sync::Notify, time::Instant};
 
 use crate::{
     attempt::{self, Attempt},
     clock,
+    continuation::{StreamKind, display_id},
     gateway::Gateway,
     liveness,
     progress::RequestProgress,
     request::Request,
     resumption::{Resuming, Resumption, SilentStep, SilentUpstream, Upstream},
     retry::{self, OpenedResponse, open_response},
-    silence::REPLACE_INTERVAL,
+    stall::{Expired, StallTimer},
     suspects, take_up,
 };
 
-/// Time without an event after which a resumable stream counts as stalled, as a multiple of the route's
-/// `event_gap_goal_ms`.
-const STALL_TIMEOUT_GAP_FACTOR: u32 = 5;
-/// Minimum of that time.
-const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// A streamed body ended before it was complete.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BodyAborted;
@@ -84,14 +73,9 @@
     /// First bytes of the current endpoint's response, read when the response was opened.
     first: Option<Bytes>,
     events: EventForwarder,
-    /// Content type of the stream. A response that resumes it must have the same, unless both are streams
-    /// of events.
-    content_type: Option<HeaderValue>,
-    /// When bytes last became forwardable.
-    last_data: Instant,
-    /// [`Relay::last_data`] of the latest stall that was recorded against the endpoint.
-    overdue_since: Option<Instant>,
-    timer: Pin<Box<Sleep>>,
+    /// What a response that continues the stream must be.
+    kind: StreamKind,
+    stall: StallTimer,
     /// How often the stream was resumed.
     resumed: u32,
     /// Events of a stream that may be resumed were forwarded.
@@ -113,22 +97,21 @@
         opened: OpenedResponse,
     ) -> Relay {
         let can_resume = request.route.retry_safety.allows_resend();
-        let mut relay = Relay {
-            gateway,
+        let event_gap_goal_ms = can_resume.then_some(request.route.event_gap_goal_ms.unwrap_or(0));
+        let last_event_id = take_up::last_event_id(&request, &gateway.header_names);
+        let events = EventForwarder::new(can_resume, opened.is_event_stream, last_event_id);
+        Relay {
+            kind: StreamKind::of(&opened),
             progress,
             state: State::streaming(opened.framing, opened.body, opened.attempt),
             first: Some(opened.first),
-            events: EventForwarder::new(can_resume, opened.is_event_stream),
-            content_type: opened.head.headers.get(CONTENT_TYPE).cloned(),
-            last_data: Instant::now(),
-            overdue_since: None,
-            timer: Box::pin(sleep_until(request.deadline)),
+            events,
+            stall: StallTimer::new(request.deadline, event_gap_goal_ms),
             resumed: 0,
             has_begun: false,
+            gateway,
             request,
-        };
-        relay.reset_timer(relay.last_data);
-        relay
+        }
     }
 
     /// Polls for the next bytes for the caller.
@@ -160,8 +143,9 @@
                     let (progress, opened) = ready!(resumption.poll(cx));
                     let (failure, silent) = (resumption.failure, resumption.silent.take());
                     self.progress = progress;
-                    match opened.and_then(|it| self.accept(it)) {
-                        Some(opened) => self.continue_with(opened),
+                    match opened {
+                        Some(opened) if self.accepts(&opened) => self.continue_with(opened),
+                        Some(_) => self.begin_resuming(failure, silent.map(|it| it.upstream)),
                         None => self.continue_without(failure, silent, cx),
                     }
                     if matches!(self.state, State::Aborting) {
@@ -171,7 +155,7 @@
                 State::Streaming(..) => match ready!(self.poll_upstream(cx)) {
                     Step::Bytes(bytes) if bytes.is_empty() => {}
                     Step::Bytes(bytes) => {
-                        self.record_begun();
+                        self.record_forwarded();
                         return Poll::Ready(Some(Ok(bytes)));
                     }
                     Step::End => return Poll::Ready(self.end(BodyEnd::Whole)),
@@ -191,6 +175,10 @@
         if let Some(first) = self.first.take() {
             return Poll::Ready(Step::Bytes(self.events.push(first)));
         }
+        if let Some(fault) = self.events.fault() {
+            self.log_order_fault(fault);
+            return Poll::Ready(Step::Failed(Failure::BadAnswer));
+        }
         let State::Streaming(upstream) = &mut self.state else { return Poll::Ready(Step::End) };
         let shows_end = upstream.framing.shows_end();
         match Pin::new(&mut upstream.body).poll_frame(cx) {
@@ -219,6 +207,37 @@
         }
     }
 
+    /// Logs that an event of the endpoint does not follow those before it.
+    fn log_order_fault(&self, fault: OrderFault) {
+        let last_choice = self.progress.last_choice.as_ref();
+        tracing::warn!(
+            request = %self.request.id,
+            endpoint = last_choice.map(|it| &*it.id),
+            software_version = last_choice.map(|it| &*it.software_version),
+            order_fault = <&str>::from(fault),
+            event_id = fault.number().map(|it| it.to_string()),
+            after_event_id = self.events.last_event_id().map(display_id),
+            resumed = self.resumed,
+            "event is out of order; nothing more of the response is forwarded"
+        );
+    }
+
+    /// Records that events are forwarded.
+    fn record_forwarded(&mut self) {
+        self.record_begun();
+        let Some(junction) = self.events.take_junction() else { return };
+        let last_choice = self.progress.last_choice.as_ref();
+        tracing::info!(
+            request = %self.request.id,
+            endpoint = last_choice.map(|it| &*it.id),
+            software_version = last_choice.map(|it| &*it.software_version),
+            first_event_id = display_id(&junction.first_id),
+            after_event_id = junction.after_id.as_ref().map(display_id),
+            resumed = self.resumed,
+            "response continues the stream"
+        );
+    }
+
     /// Records the software version at which a stream began whose first events are forwarded. It goes on
     /// at that version only: what two versions write does not fit together.
     fn record_begun(&mut self) {
@@ -235,31 +254,15 @@
     /// Ready if the caller's deadline has passed, or the stream has stalled and another endpoint can
     /// continue it.
     fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
-        while self.timer.as_mut().poll(cx).is_ready() {
-            let now = Instant::now();
-            let is_over = now >= self.request.deadline;
-            if is_over || (self.has_stalled(now) && self.try_replace()) {
-                return Poll::Ready(Step::Failed(Failure::Silent));
+        loop {
+            match ready!(self.stall.poll(cx)) {
+                Expired::Deadline => return Poll::Ready(Step::Failed(Failure::Silent)),
+                Expired::Stall if self.try_replace() => {
+                    return Poll::Ready(Step::Failed(Failure::Silent));
+                }
+                Expired::Stall | Expired::Nothing => self.stall.reset(Instant::now()),
             }
-            self.reset_timer(now);
         }
-        Poll::Pending
-    }
-
-    /// Sets the timer to the next time at which the stream may have stalled, can perhaps be continued
-    /// elsewhere, or is past its deadline.
-    fn reset_timer(&mut self, now: Instant) {
-        let deadline = self.request.deadline;
-        let at = match self.stall_timeout() {
-            None => deadline,
-            Some(_) if self.has_stalled(now) => deadline.min(now + REPLACE_INTERVAL),
-            Some(timeout) => deadline.min(self.last_data + timeout),
-        };
-        self.timer.as_mut().reset(at);
-    }
-
-    fn has_stalled(&self, now: Instant) -> bool {
-        self.stall_timeout().is_some_and(|it| now >= self.last_data + it)
     }
 
     /// Secures another endpoint for a stream that has stalled. Returns false if it has to wait for its
@@ -267,11 +270,12 @@
     fn try_replace(&mut self) -> bool {
         let State::Streaming(upstream) = &self.state else { return false };
         let endpoint = &upstream.attempt.chosen;
-        if retry::try_replace(&self.gateway, &self.request, &mut self.progress, endpoint) {
+        if self.events.can_continue()
+            && retry::try_replace(&self.gateway, &self.request, &mut self.progress, endpoint)
+        {
             return true;
         }
-        if self.overdue_since != Some(self.last_data) {
-            self.overdue_since = Some(self.last_data);
+        if self.stall.record_overdue() {
             attempt::record_overdue(&self.gateway, &endpoint.id);
         }
         false
@@ -279,22 +283,11 @@
 
     /// Records that bytes became forwardable. An endpoint that goes on after a stall is sound.
     fn record_data(&mut self) {
-        if self.overdue_since == Some(self.last_data)
+        if self.stall.record_data()
             && let State::Streaming(upstream) = &self.state
         {
             attempt::record_recovered(&self.gateway, &upstream.attempt.chosen.id);
         }
-        self.last_data = Instant::now();
-    }
-
-    /// Time without an event after which the stream counts as stalled; `None` for a stream that cannot
-    /// be resumed.
-    fn stall_timeout(&self) -> Option<Duration> {
-        if !self.events.can_resume() {
-            return None;
-        }
-        let gap_goal = Duration::from_millis(self.request.route.event_gap_goal_ms.unwrap_or(0));
-        Some((gap_goal * STALL_TIMEOUT_GAP_FACTOR).max(MIN_STALL_TIMEOUT))
     }
 
     /// Ends a stream whose connection brought no error; returns the bytes that were held back.
@@ -349,18 +342,25 @@
             self.progress.attempt_failed(&self.request, &chosen.id, failure);
         }
         let past_deadline = Instant::now() >= self.request.deadline;
-        if self.events.can_resume() && !past_deadline {
-            let begun = self.progress.watch_begun();
-            let silent = upstream.filter(|_| failure == Failure::Silent);
-            let silent = silent.map(|it| SilentUpstream::new(it, begun));
-            let cancel = Arc::new(Notify::new());
-            let asking = self.resume(failure, Arc::clone(&cancel));
-            self.state = State::Resuming(Resumption { failure, asking, cancel, silent });
+        if self.events.can_continue() && !past_deadline {
+            self.begin_resuming(failure, upstream.filter(|_| failure == Failure::Silent));
         } else {
+            if self.events.can_resume() && !self.events.can_continue() {
+                tracing::info!(request = %self.request.id, "stream cannot be resumed: its last event has no id");
+            }
             self.abort(failure, cx);
         }
     }
 
+    /// Begins to ask another endpoint to continue the stream, while its `silent` one may still go on.
+    fn begin_resuming(&mut self, failure: Failure, silent: Option<Box<Upstream>>) {
+        let begun = self.progress.watch_begun();
+        let silent = silent.map(|it| SilentUpstream::new(it, begun));
+        let cancel = Arc::new(Notify::new());
+        let asking = self.resume(failure, Arc::clone(&cancel));
+        self.state = State::Resuming(Resumption { failure, asking, cancel, silent });
+    }
+
     /// Asks another endpoint to continue the stream after its last complete event, until `cancel` is
     /// notified.
     fn resume(&mut self, failure: Failure, cancel: Arc<Notify>) -> Resuming {
@@ -373,7 +373,8 @@
             software_version = last_choice.map(|it| &*it.software_version),
             events = self.events.event_count(),
             reason = %failure,
-            silent_ms = clock::as_ms(self.last_data.elapsed()),
+            silent_ms = clock::as_ms(self.stall.silent_time()),
+            last_event_id = last_id.as_ref().map(display_id),
             "stream broke; another endpoint is asked to continue"
         );
         Box::pin(async move {
@@ -392,9 +393,9 @@
         self.resumed += 1;
         self.events.discard_partial();
         self.first = Some(opened.first);
-        self.last_data = Instant::now();
         self.state = State::streaming(opened.framing, opened.body, opened.attempt);
-        self.reset_timer(self.last_data);
+        self.stall.record_data();
+        self.stall.reset(Instant::now());
     }
 
     /// Waits for the endpoint that fell silent, if it is still connected, since nobody else continues
@@ -434,7 +435,7 @@
         let endpoint = &upstream.attempt.chosen.id;
         tracing::info!(request = %self.request.id, %endpoint, "the silent endpoint goes on");
         attempt::record_recovered(&self.gateway, endpoint);
-        self.last_data = Instant::now();
+        self.stall.record_data();
         self.return_to(upstream, resumption.failure);
     }
 
@@ -444,7 +445,7 @@
         self.progress.upstream_framing = Some(upstream.framing);
         self.progress.is_event_stream = Some(self.events.is_event_stream());
         self.state = State::Streaming(upstream);
-        self.reset_timer(Instant::now());
+        self.stall.reset(Instant::now());
     }
 
     /// Whether the framing of the response to the caller says where it ends.
@@ -452,32 +453,15 @@
         self.progress.caller_framing.is_none_or(Framing::shows_end)
     }
 
-    /// Returns a response if it continues the stream. An endpoint whose response does not may have run the
-    /// request, and is not asked again.
-    fn accept(&mut self, opened: OpenedResponse) -> Option<OpenedResponse> {
-        if self.can_continue_with(&opened) {
-            return Some(opened);
-        }
-        let endpoint = &opened.attempt.chosen.id;
-        self.progress.attempt_failed(&self.request, endpoint, Failure::BadAnswer);
-        None
-    }
-
-    /// Whether a response is a success and has the same kind of content as the stream.
-    fn can_continue_with(&self, opened: &OpenedResponse) -> bool {
-        if !opened.head.status.is_success() {
-            return false;
-        }
-        let is_same = (self.events.is_event_stream() && opened.is_event_stream)
-            || opened.head.headers.get(CONTENT_TYPE) == self.content_type.as_ref();
-        if !is_same {
-            tracing::warn!(
-                request = %self.request.id,
-                endpoint = %opened.attempt.chosen.id,
-                "cannot resume the stream: the response has another content type"
-            );
+    /// Whether a response continues the stream. An endpoint whose response does not may have run the request,
+    /// and is not asked again.
+    fn accepts(&mut self, opened: &OpenedResponse) -> bool {
+        let accepts = self.kind.is_continued_by(opened, &self.events, &self.request);
+        if !accepts {
+            let endpoint = &opened.attempt.chosen.id;
+            self.progress.attempt_failed(&self.request, endpoint, Failure::BadAnswer);
         }
-        is_same
+        accepts
     }
 
     /// Aborts the stream at the next poll. When a body fails, the server discards data that it has
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -93,7 +93,7 @@
                     if !bytes.is_empty() {
                         return Some(SilentStep::Events(bytes));
                     }
-                    if events.is_event_too_long() {
+                    if events.is_event_too_long() || events.fault().is_some() {
                         break;
                     }
                 }
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -68,6 +68,14 @@
     }
 }
 
+/// Id of the event after which a request takes its stream up; `None` if it takes up none, or names several.
+pub(crate) fn last_event_id<'r>(request: &'r Request, names: &HeaderNames) -> Option<&'r [u8]> {
+    request.take_up.as_ref()?;
+    let mut values = request.headers.get_all(&names.last_event_id).iter();
+    let id = values.next()?;
+    values.next().is_none().then(|| id.as_bytes())
+}
+
 /// Id of the attempt that a request resumes; `None` if it names none, or several.
 fn read_resumes(headers: &HeaderMap, names: &HeaderNames) -> Option<Name> {
     let mut values = headers.get_all(&names.resumes).iter();
