Continue a stream only with a response of its own kind

What callers saw: a stream that broke off was called complete where the endpoint asked to continue it answered 204; it went on with the body of a 202 or 206, or of any 200 of the same content type.

Cause: any success counted as a continuation. An empty body without a content type counted as a stream of events, since such a stream may begin with any of its bytes.

Now a continuation has the status of the response that it continues, and is a stream of events where that is one. An empty one says so by its content type: `text/event-stream` with nothing left to send continues a stream as before. An empty 200 without a type no longer ends one as complete, also where the stream itself has no type; its caller can take it up.

--- a/crates/gateway/src/continuation.rs
+++ b/crates/gateway/src/continuation.rs
@@ -1,15 +1,19 @@
 //! Whether the response of another endpoint continues a stream that broke off.
 //!
-//! That is proved by its kind of content and the numbers of its events, and assumed of none.
+//! That is proved by its status, its kind of content and the numbers of its events, and assumed of none.
 
 use bytes::Bytes;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{
+    StatusCode,
+    header::{CONTENT_TYPE, HeaderValue},
+};
 use tanagergauge_core::{event_forwarder::EventForwarder, event_order::OrderFault};
 
-use crate::{request::Request, retry::OpenedResponse};
+use crate::{request::Request, retry::OpenedResponse, upstream_response};
 
 /// What a response is whose stream broke off.
 pub(crate) struct StreamKind {
+    status: StatusCode,
     content_type: Option<HeaderValue>,
     is_event_stream: bool,
 }
@@ -18,10 +22,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 enum Mismatch {
-    /// It is no success.
+    /// It has another status.
     Status,
     /// It has another kind of content.
     ContentType,
+    /// It is empty, and nothing says that it is a stream of events.
+    Empty,
     /// Its first event does not follow the last one of the stream.
     Events(OrderFault),
 }
@@ -29,6 +35,7 @@
 impl StreamKind {
     pub(crate) fn of(opened: &OpenedResponse) -> StreamKind {
         StreamKind {
+            status: opened.head.status,
             content_type: opened.head.headers.get(CONTENT_TYPE).cloned(),
             is_event_stream: opened.is_event_stream,
         }
@@ -60,14 +67,19 @@
     }
 
     fn mismatch(&self, opened: &OpenedResponse, events: &EventForwarder) -> Option<Mismatch> {
-        if !opened.head.status.is_success() {
+        if opened.head.status != self.status {
             return Some(Mismatch::Status);
         }
-        let is_same = (self.is_event_stream && opened.is_event_stream)
-            || opened.head.headers.get(CONTENT_TYPE) == self.content_type.as_ref();
-        if !is_same {
+        if !self.is_event_stream {
+            let is_same = opened.head.headers.get(CONTENT_TYPE) == self.content_type.as_ref();
+            return (!is_same).then_some(Mismatch::ContentType);
+        }
+        if !opened.is_event_stream {
             return Some(Mismatch::ContentType);
         }
+        if opened.first.is_empty() && !upstream_response::is_named_event_stream(&opened.head) {
+            return Some(Mismatch::Empty);
+        }
         events.fault_of_continuation(&opened.first).map(Mismatch::Events)
     }
 }
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -143,16 +143,25 @@
 /// Whether a response on a route of streams is a stream of events, by its content type or, where that
 /// names nothing, by its first bytes.
 pub(crate) fn is_event_stream(head: &response::Parts, first: &[u8]) -> bool {
-    let content_type = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
-    let media_type = media_type(content_type.unwrap_or(UNNAMED_CONTENT));
-    let is_named = media_type.eq_ignore_ascii_case(EVENT_STREAM);
-    let is_unnamed = media_type.eq_ignore_ascii_case(UNNAMED_CONTENT);
-    head.status.is_success() && (is_named || (is_unnamed && may_begin_events(first)))
+    let is_unnamed = media_type(head).eq_ignore_ascii_case(UNNAMED_CONTENT);
+    is_named_event_stream(head)
+        || (head.status.is_success() && is_unnamed && may_begin_events(first))
+}
+
+/// Whether a response is a stream of events by its content type.
+pub(crate) fn is_named_event_stream(head: &response::Parts) -> bool {
+    head.status.is_success() && media_type(head).eq_ignore_ascii_case(EVENT_STREAM)
 }
 
-/// A content type without its parameters.
-fn media_type(content_type: &[u8]) -> &[u8] {
-    content_type.split(|it| *it == b';').next().unwrap_or_default().trim_ascii()
+/// The content type without its parameters.
+fn media_type(head: &response::Parts) -> &[u8] {
+    let content_type = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    content_type
+        .unwrap_or(UNNAMED_CONTENT)
+        .split(|it| *it == b';')
+        .next()
+        .unwrap_or_default()
+        .trim_ascii()
 }
 
 /// What is known of the end of a body that was read completely.
