Keep the version of a stream that begins after a silence

What callers saw: events of two software versions in one answer. A stream falls silent inside its first event, another endpoint is asked, the silent one sends the event and breaks off at once; the stream then goes on at any version.

Cause: events that a silent endpoint sends while another one is asked were forwarded without a record of the version at which the stream began, which the next events made up for only if there were any. Now both places record it.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -136,7 +136,10 @@
                     if let Some(step) = resumption.poll_silent(cx, &mut self.events) {
                         self.go_on_with_silent(cx);
                         return Poll::Ready(match step {
-                            SilentStep::Events(bytes) => Some(Ok(bytes)),
+                            SilentStep::Events(bytes) => {
+                                self.record_forwarded();
+                                Some(Ok(bytes))
+                            }
                             SilentStep::End => self.end(BodyEnd::Whole),
                         });
                     }
