End a response without framing with a reset when its instance is killed

Cause: the socket was set to end with a reset only when a broken response was dropped. Nothing is dropped in a process that is killed, and the kernel closes its sockets in order. Class: the end of a connection claims more than is known, as for endpoints that are killed.

Now the socket is set to end with a reset before the first byte of such a response, and to end in order only once the response is written up to its end. Whoever closes it in between resets it.

Evidence: killed_instance, six tests; the four of responses without framing failed on (Unframed in place of BrokenOff), all pass now, with answer_end (50), ended_server (26) and framing (12).

--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -1,7 +1,8 @@
 //! The socket of a caller, which shows how a response without framing ended.
 //!
 //! Such a response ends with its connection. One that broke off must end with a reset, since the
-//! caller takes an orderly close for a regular end.
+//! caller takes an orderly close for a regular end. The kernel closes the connections of a process that
+//! was killed, so that the socket is set to end with a reset before the first byte of such a response.
 
 use std::{
     io::{self, IoSlice},
@@ -13,6 +14,7 @@
     task::{Context, Poll, ready},
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -38,8 +40,8 @@
 pub(crate) struct CallerStream {
     stream: TcpStream,
     response: Arc<ResponseState>,
-    /// The last response was written up to its end.
-    is_shut_down: bool,
+    /// The socket ends with a reset when it is closed, by whomever.
+    resets_on_close: bool,
 }
 
 impl ResponseState {
@@ -52,7 +54,25 @@
 
 impl CallerStream {
     pub(crate) fn new(stream: TcpStream, response: Arc<ResponseState>) -> CallerStream {
-        CallerStream { stream, response, is_shut_down: false }
+        CallerStream { stream, response, resets_on_close: false }
+    }
+
+    /// Makes the connection end with a reset until the response is written up to its end.
+    fn prepare_write(&mut self) -> io::Result<()> {
+        if self.resets_on_close || !self.response.is_until_close.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        self.stream.set_zero_linger()?;
+        self.resets_on_close = true;
+        Ok(())
+    }
+
+    /// Lets the connection end in order, as the last response was written up to its end.
+    fn prepare_shutdown(&mut self) -> io::Result<()> {
+        if std::mem::take(&mut self.resets_on_close) {
+            SockRef::from(&self.stream).set_linger(None)?;
+        }
+        Ok(())
     }
 
     /// Writes a head whose version has to be replaced.
@@ -87,6 +107,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
         if self.replaces_version() {
             return self.poll_write_head(cx, bytes);
         }
@@ -98,6 +119,7 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
         match slices.iter().find(|it| !it.is_empty()) {
             Some(first) if self.replaces_version() => self.poll_write_head(cx, first),
             _ => Pin::new(&mut self.stream).poll_write_vectored(cx, slices),
@@ -113,19 +135,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.is_shut_down = true;
+        self.prepare_shutdown()?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
-
-impl Drop for CallerStream {
-    fn drop(&mut self) {
-        let is_until_close = self.response.is_until_close.load(Ordering::Relaxed);
-        if is_until_close
-            && !self.is_shut_down
-            && let Err(error) = self.stream.set_zero_linger()
-        {
-            tracing::warn!(%error, "cannot reset a caller's connection");
-        }
-    }
-}
