Take no switch of protocols for an answer

What callers saw: a 101 with the receipt of a server, as the answer to a request that asked for no switch. A caller then takes what follows on its connection for another protocol.

Cause: the status of a response was not held against the request; a 101 was forwarded as any other status. It counts as a bad answer now: the request is sent again where its route allows that, and its caller gets 502 else.

Evidence: `a_switch_of_protocols_is_no_answer` failed on with 101 at the caller, and passes here. `streams_beyond_the_retry_budget_are_broken_off` is new beside it, and holds before this change too.

--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -77,8 +77,10 @@
     }
     let lacks_receipt = !head.headers.contains_key(&names.receipt);
     let encoded = head.headers.contains_key(CONTENT_ENCODING);
+    // No request asks for a switch of protocols, and other interim responses come before a response.
     if origin != Origin::ThisRequest
         || encoded
+        || head.status.is_informational()
         || (head.status.is_success() && lacks_receipt)
         || implies_not_run(head)
     {
