Take no record of versions from before a drill for complete at once

What callers saw: the store came back from a copy and all instances were killed meanwhile.

Cause: after a start the store's record of versions tells whether one version alone was in service. The copy's record, and the list beside it, lack what was written since the copy, and counted as complete. Nothing compared them with the era of the store.

Change: the record names the era in which it was written (a new field at its end; a record without it is of the first era). One of an earlier era than the store's still names versions that count, but is complete only 4 s after it was read: servers that run have written their entries again by then, three heartbeats of 1.2 s. The hubs write the records again when the era changes, one write a service.

--- a/crates/core/src/store_era.rs
+++ b/crates/core/src/store_era.rs
@@ -4,6 +4,9 @@
 //! given out again, for other records. Each history has an era, and only offsets of the same era can
 //! be compared.
 
+/// Era of a store that never came back from a copy.
+pub const FIRST_ERA: u64 = 1;
+
 /// How the era of an answer relates to the one that is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EraChange {
--- a/crates/core/src/version_history.rs
+++ b/crates/core/src/version_history.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     Name,
+    store_era::FIRST_ERA,
     update_log::{LogPosition, UpdateLog},
 };
 
@@ -31,6 +32,9 @@
 const LATE_ANSWERS_MS: u64 = 100;
 /// How much the Unix times of instances may differ, in milliseconds.
 pub const UNIX_TIME_MARGIN_MS: u64 = 5_000;
+/// Time after a start within which servers that run write their entries again into a store that came back
+/// from a copy, in milliseconds: three of their heartbeats, which are 1.2 s apart, and a margin.
+pub const ENTRIES_WRITTEN_AGAIN_MS: u64 = 4_000;
 /// Least gain, in milliseconds, for which a peer's completeness is taken over. What two instances make
 /// of the same message differs by its time of travel.
 const MIN_COMPLETENESS_GAIN_MS: u64 = 500;
@@ -87,6 +91,10 @@
     /// Unix time in milliseconds from which no other version can count than `versions` and later
     /// ones; 0 if that was so when the record was written.
     pub complete_at_unix_ms: u64,
+    /// Era of the store for which it was written; 0 if that is not known. A store of a later era may have
+    /// lost records that were written after this one, and entries of servers.
+    #[serde(default)]
+    pub era: u64,
 }
 
 /// A version in the store's record.
@@ -115,6 +123,8 @@
     observed_ms: u64,
     /// When this process went on after it had been stopped; 0 if it never was.
     went_on_ms: u64,
+    /// Era of the store; 0 if it tells none. `stored` of all services is of this era.
+    era: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -148,6 +158,19 @@
             is_list_read: false,
             observed_ms: now_ms,
             went_on_ms: 0,
+            era: 0,
+        }
+    }
+
+    /// Records the era of the store. In a later one the records have to be written again, as the store
+    /// has come back from a copy.
+    pub fn record_era(&mut self, era: u64) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        for history in self.services.values_mut() {
+            (history.stored, history.stored_by_peer) = (None, None);
         }
     }
 
@@ -288,7 +311,8 @@
 
     /// Applies the store's records, which are all that it has. `unix_ms` is `now_ms` as Unix time.
     /// Only the first ones tell of versions that this instance may not know; a version that they
-    /// still list counts as listed until now.
+    /// still list counts as listed until now. One of an earlier era than the store's is not complete
+    /// until servers have had time to write their entries again.
     pub fn apply_records(
         &mut self,
         records: Vec<(Name, VersionRecord)>,
@@ -296,14 +320,17 @@
         now_ms: u64,
     ) {
         let are_first = !std::mem::replace(&mut self.are_records_read, true);
+        let store_era = self.era;
         for history in self.services.values_mut() {
             (history.stored, history.stored_by_peer) = (None, None);
         }
         for (service, record) in records {
             let history = self.service_mut(&service);
-            history.stored = Some(record.listed());
+            let is_lossy = record.is_before_copy(store_era);
+            history.stored = (!is_lossy).then(|| record.listed());
             if are_first {
-                history.apply_record(record, unix_ms, now_ms);
+                let least_ms = if is_lossy { ENTRIES_WRITTEN_AGAIN_MS } else { 0 };
+                history.apply_record(record, least_ms, unix_ms, now_ms);
                 self.updates.extend([service]);
             }
         }
@@ -316,7 +343,8 @@
             return Vec::new();
         }
         let to_store = self.services.iter().filter(|(_, it)| !it.is_stored());
-        to_store.map(|(service, it)| (service.clone(), it.record(unix_ms, now_ms))).collect()
+        let record = |it: &ServiceHistory| it.record(self.era, unix_ms, now_ms);
+        to_store.map(|(service, it)| (service.clone(), record(it))).collect()
     }
 
     /// Records that a record was written.
@@ -376,7 +404,8 @@
         self.stored == listed || self.stored_by_peer == listed
     }
 
-    fn apply_record(&mut self, record: VersionRecord, unix_ms: u64, now_ms: u64) {
+    /// Applies a record, which is complete after `least_ms` at the earliest.
+    fn apply_record(&mut self, record: VersionRecord, least_ms: u64, unix_ms: u64, now_ms: u64) {
         for RecordedVersion { version, until_unix_ms } in record.versions {
             let until_unix_ms = until_unix_ms.map_or(unix_ms, with_margin);
             self.add_version(version, unix_ms.saturating_sub(until_unix_ms), now_ms);
@@ -385,10 +414,10 @@
             0 => 0,
             at_unix_ms => with_margin(at_unix_ms).saturating_sub(unix_ms),
         };
-        self.merge_completeness(complete_in_ms, now_ms);
+        self.merge_completeness(complete_in_ms.max(least_ms), now_ms);
     }
 
-    fn record(&self, unix_ms: u64, now_ms: u64) -> VersionRecord {
+    fn record(&self, era: u64, unix_ms: u64, now_ms: u64) -> VersionRecord {
         let recorded = |(version, seen): (&Name, &SeenUntil)| RecordedVersion {
             version: version.clone(),
             until_unix_ms: (!seen.is_listed).then(|| unix_ms.saturating_sub(seen.age_ms(now_ms))),
@@ -397,6 +426,7 @@
         VersionRecord {
             versions: self.counting(now_ms).map(recorded).collect(),
             complete_at_unix_ms: if complete_in_ms == 0 { 0 } else { unix_ms + complete_in_ms },
+            era,
         }
     }
 }
@@ -421,6 +451,11 @@
 }
 
 impl VersionRecord {
+    /// Whether the store has come back from a copy since the record was written.
+    fn is_before_copy(&self, store_era: u64) -> bool {
+        self.era.max(FIRST_ERA) < store_era
+    }
+
     /// Versions that were listed when the record was written, sorted.
     pub fn listed(&self) -> Vec<Name> {
         let listed = self.versions.iter().filter(|it| it.until_unix_ms.is_none());
--- a/crates/core/tests/version_history.rs
+++ b/crates/core/tests/version_history.rs
@@ -4,7 +4,8 @@
     Name,
     update_log::LogPosition,
     version_history::{
-        SoleVersion, UNIX_TIME_MARGIN_MS, VERSION_RETENTION_MS, VersionHistory, VersionRecord,
+        ENTRIES_WRITTEN_AGAIN_MS, SoleVersion, UNIX_TIME_MARGIN_MS, VERSION_RETENTION_MS,
+        VersionHistory, VersionRecord,
     },
 };
 
@@ -73,6 +74,15 @@
     history
 }
 
+/// The same, and the store has come back from a copy since.
+fn restarted_after_copy(records: Vec<(Name, VersionRecord)>, versions: &[&str]) -> VersionHistory {
+    let mut history = started(versions);
+    history.record_era(2);
+    history.apply_records(records, UNIX_MS + 2_000, START_MS);
+    watch(&mut history, versions, START_MS, START_MS + ENTRIES_WRITTEN_AGAIN_MS);
+    history
+}
+
 macro_rules! cases {
     ($($name:ident: $history:expr, at $now_ms:expr => $sole:expr;)*) => {$(
         #[test]
@@ -138,6 +148,23 @@
         let dark_ms = VERSION_RETENTION_MS + UNIX_TIME_MARGIN_MS;
         restarted(store(&mut killed, START_MS), dark_ms, &["v1"])
     }, at START_MS => one("v1");
+    a_record_from_before_a_copy_is_not_complete_at_once:
+        restarted_after_copy(store(&mut long_running(&["v1"]), LATER_MS), &["v1"]),
+        at START_MS + ENTRIES_WRITTEN_AGAIN_MS - 1 => SoleVersion::Unknown;
+    a_record_from_before_a_copy_is_complete_once_servers_have_written_again:
+        restarted_after_copy(store(&mut long_running(&["v1"]), LATER_MS), &["v1"]),
+        at START_MS + ENTRIES_WRITTEN_AGAIN_MS => one("v1");
+    a_version_that_is_written_again_after_a_copy_counts: {
+        let records = store(&mut long_running(&["v1"]), LATER_MS);
+        let mut history = restarted_after_copy(records, &["v1"]);
+        observe(&mut history, &["v1", "v2"], START_MS + ENTRIES_WRITTEN_AGAIN_MS - 1);
+        history
+    }, at START_MS + ENTRIES_WRITTEN_AGAIN_MS => SoleVersion::Several;
+    a_record_of_the_stores_era_is_complete: {
+        let mut killed = long_running(&["v1"]);
+        killed.record_era(2);
+        restarted_after_copy(store(&mut killed, LATER_MS), &["v1"])
+    }, at START_MS => one("v1");
     an_instance_that_starts_learns_from_a_peer: {
         let mut history = started(&["v1"]);
         let updates = long_running(&["v1"]).updates_since(LogPosition::default(), LATER_MS);
@@ -214,9 +241,14 @@
     assert_eq!(other.records_to_store(UNIX_MS, LATER_MS).len(), 1);
     other.merge(history.updates_since(LogPosition::default(), 2 * LATER_MS).services, LATER_MS);
     assert_eq!(other.records_to_store(UNIX_MS, LATER_MS), []);
-    // The store came back from a copy without the record.
+    // The store came back from a copy, with or without the record.
+    history.record_era(2);
+    let in_next_era = store(&mut history, 2 * LATER_MS);
+    assert_eq!(in_next_era.iter().map(|(_, it)| it.era).collect::<Vec<_>>(), [2]);
+    history.apply_records(records, UNIX_MS, 2 * LATER_MS);
+    assert_eq!(store(&mut history, 2 * LATER_MS), in_next_era);
     history.apply_records(Vec::new(), UNIX_MS, 2 * LATER_MS);
-    assert_eq!(store(&mut history, 2 * LATER_MS), records);
+    assert_eq!(store(&mut history, 2 * LATER_MS), in_next_era);
 }
 
 /// Guards against ORDER: a list that was confirmed before a stream was asked for, or by an answer that was on
--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use tanagergauge_core::{Name, roster::Peer, version_history::VersionRecord};
+use tanagergauge_core::{Name, roster::Peer, store_era::FIRST_ERA, version_history::VersionRecord};
 use tokio::time::{sleep, timeout};
 
 use crate::{
@@ -29,8 +29,6 @@
 const MAX_ROSTER_BACKOFF: Duration = Duration::from_secs(2);
 /// The first instances of a deployment start within this time, in milliseconds.
 const FIRST_START_SPAN_MS: u64 = 10_000;
-/// Era of a store that never came back from a copy.
-const FIRST_ERA: u64 = 1;
 /// Added to the number of listed instances that share the retry budget, for one that has started
 /// but is not in the list yet.
 const UNLISTED_INSTANCES: usize = 1;
@@ -51,6 +49,8 @@
 struct InstanceList {
     instances: Vec<(Peer, Registration)>,
     versions: Vec<(Name, VersionRecord)>,
+    /// Era of the store's history, if the store told it.
+    era: Option<u64>,
     /// Each key was written once, and the store never came back from a copy.
     is_unchanged: bool,
 }
@@ -150,7 +150,8 @@
 fn decode(snapshot: Snapshot, passed_over: &mut PassedOver) -> InstanceList {
     let is_first_era = snapshot.era.is_none_or(|it| it <= FIRST_ERA);
     let is_unchanged = is_first_era && snapshot.records.len() as u64 == snapshot.end;
-    let mut list = InstanceList { instances: Vec::new(), versions: Vec::new(), is_unchanged };
+    let (instances, versions, era) = (Vec::new(), Vec::new(), snapshot.era);
+    let mut list = InstanceList { instances, versions, era, is_unchanged };
     let mut records = snapshot.records;
     // Of two entries with the same address, the later one belongs to the running instance.
     records.sort_by_key(|it| it.offset);
@@ -180,6 +181,7 @@
         tracing::info!(target: LOG_TARGET, "first start of the deployment: no stream began before");
         history.record_first_start();
     }
+    history.record_era(list.era.unwrap_or(0));
     history.apply_records(list.versions, unix_ms, now_ms);
     drop(history);
     let mut roster = gateway.peers.roster();
--- a/crates/gateway/src/peers/version_records.rs
+++ b/crates/gateway/src/peers/version_records.rs
@@ -77,7 +77,9 @@
     let balancer = gateway.balancer();
     let listed = balancer.software_versions();
     let listed = listed.into_iter().filter(|(it, _)| configuration.has_resumable_streams(it));
-    gateway.version_history().observe(listed, clock::now_ms());
+    let mut history = gateway.version_history();
+    history.record_era(gateway.store_era());
+    history.observe(listed, clock::now_ms());
 }
 
 fn records_to_write(gateway: &Gateway) -> Vec<(Name, VersionRecord)> {
