Take a head whose lines end in lone line feeds for no answer

What callers saw: a server that wrote two line feeds inside its head, in whole or in part without carriage returns, got the rest of its head passed on as the body of a 200 ("Content-Length: 12 ..." in the middle of the answer), and a 200 with an empty body where it closed there. HEAD got a whole 200.

Cause: hyper's parser takes a lone line feed for the end of a line, so that two end a head that its sender did not end. A head cut at any other place was never taken for one: all beginnings of a head tried (15 places, new and kept connections, closed and reset, seven routes and methods) gave 502 or another attempt before, too.

`HeadScanner` in the core follows the bytes of a response up to the end of its head, over interim responses, and the endpoint's socket fails at a line that ends without a carriage return. The attempt counts as broken off: never as not run. Peers, whose answers are ours, are not scanned.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod fact_set;
 pub mod finding;
 pub mod gossip;
+pub mod head_scanner;
 pub mod health;
 pub mod job;
 pub mod key;
--- a/crates/gateway/src/endpoint_stream.rs
+++ b/crates/gateway/src/endpoint_stream.rs
@@ -1,7 +1,7 @@
-//! The socket of an endpoint, which bounds what may come before the head of a response.
+//! The socket of an endpoint, which checks the head of a response and bounds what may come before it.
 //!
 //! An endpoint may send interim responses (status 1xx) without end. hyper reads them all, at the cost of
-//! the requests that share its thread.
+//! the requests that share its thread. It also takes lone line feeds for the ends of lines.
 
 use std::{
     io,
@@ -18,6 +18,8 @@
     net::TcpStream,
 };
 
+use tanagergauge_core::head_scanner::HeadScanner;
+
 /// Maximum number of bytes that are read up to the head of a response, with what follows it at once.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// What may be read while no head is awaited.
@@ -27,17 +29,23 @@
 #[derive(Debug)]
 pub(crate) struct ReadLimit {
     left_bytes: AtomicUsize,
+    /// Number of heads that were awaited so far.
+    awaited_heads: AtomicUsize,
 }
 
 impl Default for ReadLimit {
     fn default() -> ReadLimit {
-        ReadLimit { left_bytes: AtomicUsize::new(UNLIMITED_BYTES) }
+        ReadLimit {
+            left_bytes: AtomicUsize::new(UNLIMITED_BYTES),
+            awaited_heads: AtomicUsize::new(0),
+        }
     }
 }
 
 impl ReadLimit {
-    /// Limits what is read until [`ReadLimit::head_received`].
+    /// Limits what is read until [`ReadLimit::head_received`]. What is read next begins a head.
     pub(crate) fn await_head(&self) {
+        self.awaited_heads.fetch_add(1, Ordering::Relaxed);
         self.left_bytes.store(MAX_HEAD_BYTES, Ordering::Relaxed);
     }
 
@@ -63,11 +71,26 @@
 pub(crate) struct EndpointStream {
     stream: TcpStream,
     limit: Arc<ReadLimit>,
+    /// Checks the head that is awaited; absent before the first one.
+    scanner: Option<HeadScanner>,
+    /// [`ReadLimit::awaited_heads`] for which there was a scanner.
+    scanned_heads: usize,
 }
 
 impl EndpointStream {
     pub(crate) fn new(stream: TcpStream, limit: Arc<ReadLimit>) -> EndpointStream {
-        EndpointStream { stream, limit }
+        EndpointStream { stream, limit, scanner: None, scanned_heads: 0 }
+    }
+
+    /// Checks bytes that were read, as far as they belong to the head that is awaited.
+    fn scan(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let awaited_heads = self.limit.awaited_heads.load(Ordering::Relaxed);
+        if self.scanned_heads != awaited_heads {
+            self.scanned_heads = awaited_heads;
+            self.scanner = Some(HeadScanner::default());
+        }
+        let Some(scanner) = &mut self.scanner else { return Ok(()) };
+        scanner.push(bytes).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
     }
 }
 
@@ -84,7 +107,7 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         self.limit.record_read(buffer.filled().len() - before);
-        Poll::Ready(Ok(()))
+        Poll::Ready(self.scan(&buffer.filled()[before..]))
     }
 }
 
