Pass no change of protocol on to callers

What callers saw: a server that answered 101 had it passed on as the final answer, on each kind of route and without another attempt where one was allowed; the request behind it on the connection got no answer.

Cause: hyper hands a 101 out as a response, and `validate` looked at the id only. The instance forwards no `Upgrade`.

Now it is no answer: 502, or another attempt.

--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -64,8 +64,9 @@
     origin: Origin,
     names: &HeaderNames,
 ) -> Result<(), Failure> {
-    // What belongs to another request says nothing about this one, which may run.
-    if origin == Origin::Unproven {
+    // What belongs to another request says nothing about this one, which may run. The same holds for a
+    // change of protocol, which no caller asks for.
+    if origin == Origin::Unproven || head.status.is_informational() {
         return Err(Failure::BadAnswer);
     }
     // Another endpoint has taken over the address.
