Take a head that contradicts itself for no answer

What callers saw: a head with two different ids or receipts, as it comes about where a server begins a head anew inside another one, was passed on as a 200. A response to HEAD with two different lengths closed the caller's connection without an answer, and one with a length that is no number was passed on.

Cause: the first value of each header was looked at alone. hyper checks the length only if a body follows, and its server side ends the connection at two different ones.

An answer that names several ids is not proven to be that to this request; differing receipts and lengths, and lengths that are no numbers, make it no answer.

--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -47,6 +47,9 @@
         names: &HeaderNames,
         is_kept_connection: bool,
     ) -> Origin {
+        if has_conflict(&head.headers, &names.request_id) {
+            return Origin::Unproven;
+        }
         match head.headers.get(&names.request_id) {
             Some(id) if id.as_bytes() == request.id.as_bytes() => Origin::ThisRequest,
             None if !is_kept_connection => Origin::OnlyRequest,
@@ -65,8 +68,12 @@
     names: &HeaderNames,
 ) -> Result<(), Failure> {
     // What belongs to another request says nothing about this one, which may run. The same holds for a
-    // change of protocol, which no caller asks for.
-    if origin == Origin::Unproven || head.status.is_informational() {
+    // change of protocol, which no caller asks for, and for the parts of two heads in one.
+    if origin == Origin::Unproven
+        || head.status.is_informational()
+        || has_conflict(&head.headers, &names.receipt)
+        || !has_valid_length(&head.headers)
+    {
         return Err(Failure::BadAnswer);
     }
     // Another endpoint has taken over the address.
@@ -88,6 +95,22 @@
     Ok(())
 }
 
+/// Whether a header that a response bears once has several values that differ.
+fn has_conflict(headers: &HeaderMap, name: &HeaderName) -> bool {
+    let mut values = headers.get_all(name).iter();
+    let first = values.next();
+    values.any(|it| Some(it) != first)
+}
+
+/// Whether a response announces one length at most. hyper checks that only if a body follows.
+fn has_valid_length(headers: &HeaderMap) -> bool {
+    let is_number = |it: &HeaderValue| {
+        let text = it.as_bytes();
+        !text.is_empty() && text.iter().all(u8::is_ascii_digit)
+    };
+    headers.get_all(CONTENT_LENGTH).iter().all(is_number) && !has_conflict(headers, &CONTENT_LENGTH)
+}
+
 /// Whether the status tells callers that the request did not run. Endpoints state that by a header
 /// only, so such a status without the header cannot be trusted.
 fn implies_not_run(head: &response::Parts) -> bool {
