Let streams go on only at a process that is proven to be that of its entry

What callers saw: a server crashed and was back 0.36 s later under its id and address, with other software, while the store was away.

Cause: the version of an endpoint came from its list entry, and nothing tied the entry to the process that answers.

Change: a connection that is refused, or that the endpoint ends early, and an answer that does not come, raise a doubt whether the process is still that of the entry. Peers are told for a second, after what concerns versions, where earlier releases do not read on. In doubt no stream goes on there, and the version of one that begins there is unknown until the doubt has ended. It ends with an answer on a connection that is older than the doubt, or when a connection that was opened later stays open while the entry stays the same for 0.4 s (2 s after the store was away): a new process would have written its entry. A take-up that finds no proven endpoint waits for 0.8 s, and is refused then: 503, `version_unproven`, nothing has run.

Ways weighed: a later report of the same process as proof. A report that changes only its number need not be written, so that proof might never come.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -61,7 +61,7 @@
 #[derive(Clone, Debug)]
 pub struct Balancer {
     settings: BalanceSettings,
-    endpoints: IndexMap<Name, Endpoint>,
+    pub(crate) endpoints: IndexMap<Name, Endpoint>,
     /// Demand at this instance, by service.
     demand: HashMap<Name, Demand>,
     /// Sum of the demand at peers, by service.
@@ -73,7 +73,7 @@
     /// Limits that endpoints named.
     limits: EndpointLimits,
     /// What endpoints told of requests to come, listed or not.
-    notices: EndpointNotices,
+    pub(crate) notices: EndpointNotices,
 }
 
 impl Balancer {
@@ -149,7 +149,10 @@
             Some(known) => {
                 if known.info.incarnation != info.incarnation {
                     // The process restarted: what was measured and what was cached is gone.
+                    let process = known.process;
                     *known = Endpoint::new(info, self.settings.initial_service_ms);
+                    known.process = process;
+                    known.process.record_restart();
                 } else {
                     known.info = info;
                 }
@@ -266,11 +269,6 @@
         self.endpoints.keys()
     }
 
-    /// Service and software version of each endpoint.
-    pub fn software_versions(&self) -> impl Iterator<Item = (&Name, &Name)> {
-        self.endpoints.values().map(|it| (&it.info.service, &it.info.software_version))
-    }
-
     /// Number of endpoints in each state.
     pub fn endpoint_counts(&self, now_ms: u64) -> EndpointCounts {
         let mut counts = EndpointCounts::default();
@@ -341,29 +339,6 @@
         }
     }
 
-    /// Those of the endpoints that have the required software version.
-    fn of_required_version<'a>(
-        &self,
-        query: &EndpointQuery<'_>,
-        untried: &[&'a Endpoint],
-    ) -> Result<Vec<&'a Endpoint>, NoEndpoint> {
-        let Some(version) = query.software_version else { return Ok(untried.to_vec()) };
-        let of_version: Vec<&Endpoint> =
-            untried.iter().filter(|it| it.info.software_version == *version).copied().collect();
-        if !of_version.is_empty() {
-            return Ok(of_version);
-        }
-        if self.serves_version(query.service, version) {
-            return Err(NoEndpoint::Exhausted);
-        }
-        Err(NoEndpoint::NoneOfVersion)
-    }
-
-    fn serves_version(&self, service: &Name, version: &Name) -> bool {
-        let serves = |it: &Endpoint| it.info.service == *service && !is_leaving(it, &self.notices);
-        self.endpoints.values().any(|it| serves(it) && it.info.software_version == *version)
-    }
-
     /// Why none of the endpoints that serve a request may get it.
     fn exhausted(&self, query: &EndpointQuery<'_>, now_ms: u64) -> NoEndpoint {
         match self.backoff_ms(query.service, now_ms) {
@@ -628,7 +603,7 @@
 }
 
 /// Whether an endpoint is about to stop, by its entry or by what it said itself.
-fn is_leaving(it: &Endpoint, notices: &EndpointNotices) -> bool {
+pub(crate) fn is_leaving(it: &Endpoint, notices: &EndpointNotices) -> bool {
     it.info.leaving || notices.is_leaving(&it.info.id, it.info.incarnation)
 }
 
--- a/crates/core/src/endpoint.rs
+++ b/crates/core/src/endpoint.rs
@@ -6,6 +6,7 @@
     Name,
     health::Health,
     load_reports::{Load, endpoint_hash},
+    process_identity::ProcessIdentity,
     prompt_part::CachedParts,
 };
 
@@ -83,6 +84,8 @@
     /// are reserved for latency-sensitive streams.
     pub(crate) reservation_position: f64,
     pub(crate) health: Health,
+    /// Whether its process is the one that `info` describes.
+    pub(crate) process: ProcessIdentity,
     pub(crate) cached_parts: CachedParts,
     /// Requests of this instance in progress.
     pub(crate) running: u32,
@@ -110,6 +113,7 @@
             report_hash,
             reservation_position: 1.0,
             health: Health::default(),
+            process: ProcessIdentity::default(),
             cached_parts: CachedParts::default(),
             running: 0,
             prefill_tokens: 0.0,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -53,6 +53,7 @@
 mod path_chain;
 mod prefix_affinity;
 pub mod prefix_index;
+pub mod process_identity;
 pub mod prompt_part;
 pub mod publisher;
 pub mod quarantine;
@@ -81,6 +82,7 @@
 pub mod ticket;
 pub mod update_log;
 pub mod version_history;
+pub mod version_selection;
 pub mod windowed_retry_budget;
 
 pub use finding::{Finding, Findings, Severity};
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -136,4 +136,6 @@
     VersionGone,
     /// All endpoints have asked for time.
     EndpointBackoff,
+    /// It is not known whether endpoints of the software version that began the stream still run it.
+    VersionUnproven,
 }
--- /dev/null
+++ b/crates/core/src/process_identity.rs
@@ -0,0 +1,117 @@
+//! Whether the process that answers at an endpoint's address is the one that the endpoint's entry describes.
+//!
+//! A process may end and another one take its place under the same id and address, with other software,
+//! before the entry tells so. A connection ends with its process, so that a refused or ended connection
+//! raises a doubt. Two things end it:
+//!
+//! - a request that was sent later is answered on a connection that was opened before;
+//! - a connection that was opened later stays open, and the entry stays the same for longer than a new
+//!   process takes to write its own.
+
+/// Time after which a process that accepts connections has written its entry and an instance can have
+/// read it, in milliseconds.
+pub const ENTRY_WRITTEN_MS: u64 = 400;
+/// The same for processes whose writes the store did not take, from when it serves again, in
+/// milliseconds. They repeat them with each heartbeat, 1.2 s apart.
+pub const ENTRY_WRITTEN_AGAIN_MS: u64 = 2_000;
+
+/// By how much the time of a disconnect may seem later at a peer, in milliseconds.
+const MAX_TOLD_LATE_MS: u64 = 300;
+
+/// How current the list of endpoints is; monotonic times in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListCurrency {
+    /// When the list was last confirmed.
+    pub confirmed_ms: u64,
+    /// End of the last long gap between confirmations, or of the last era of the store; `None` if there
+    /// was none since the start.
+    pub gap_end_ms: Option<u64>,
+}
+
+/// What is known of the identity of an endpoint's process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProcessIdentity {
+    /// `None` while nothing hints at another process than that of the entry.
+    doubt: Option<Doubt>,
+    /// When the entry's process was last shown to be there after a doubt. What is told later of an
+    /// earlier time raises no doubt.
+    shown_ms: u64,
+}
+
+/// Another process may have taken the place of the one that the entry describes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Doubt {
+    /// Connections that were opened before this time lead to the entry's process; not later than
+    /// `latest_ms`.
+    since_ms: u64,
+    /// When a connection was last refused or ended.
+    latest_ms: u64,
+}
+
+impl ProcessIdentity {
+    /// Records that a connection was refused or ended at a time, or that an answer did not come. Returns
+    /// whether that raises a doubt. Times are monotonic.
+    pub fn record_disconnect(&mut self, at_ms: u64) -> bool {
+        if at_ms < self.shown_ms {
+            return false;
+        }
+        let since_ms = self.doubt.map_or(at_ms, |it| it.since_ms.min(at_ms));
+        let latest_ms = self.doubt.map_or(at_ms, |it| it.latest_ms.max(at_ms));
+        self.doubt.replace(Doubt { since_ms, latest_ms }).is_none()
+    }
+
+    /// As [`ProcessIdentity::record_disconnect`], for what a peer told. It may tell again what it heard from
+    /// here, a little later each time.
+    pub fn record_told_disconnect(&mut self, at_ms: u64) -> bool {
+        let is_known = self.doubt.is_some_and(|it| at_ms <= it.latest_ms + MAX_TOLD_LATE_MS);
+        !is_known && self.record_disconnect(at_ms)
+    }
+
+    /// Records that the entry describes another process than before. A doubt stays, and no open
+    /// connection tells of that process.
+    pub fn record_restart(&mut self) {
+        if let Some(doubt) = &mut self.doubt {
+            doubt.since_ms = 0;
+        }
+    }
+
+    /// Records an answer to a request that was sent at `sent_ms` on a connection that was opened at
+    /// `opened_ms`.
+    pub fn record_answer(&mut self, opened_ms: u64, sent_ms: u64) {
+        if self.doubt.is_some_and(|it| opened_ms < it.since_ms && sent_ms > it.latest_ms) {
+            *self = ProcessIdentity { doubt: None, shown_ms: sent_ms };
+        }
+    }
+
+    /// Ends the doubt if the process that accepted a connection at `accepted_ms`, which is still open,
+    /// must have written its entry by now. Returns whether the identity is proven.
+    pub fn record_unchanged_entry(
+        &mut self,
+        accepted_ms: u64,
+        list: ListCurrency,
+        now_ms: u64,
+    ) -> bool {
+        let after_gap_ms = list.gap_end_ms.map_or(0, |it| it + ENTRY_WRITTEN_AGAIN_MS);
+        let written_ms = after_gap_ms.max(accepted_ms + ENTRY_WRITTEN_MS);
+        let is_later = self.doubt.is_some_and(|it| accepted_ms >= it.latest_ms);
+        if is_later && list.confirmed_ms >= written_ms {
+            *self = ProcessIdentity { doubt: None, shown_ms: now_ms };
+        }
+        self.is_proven()
+    }
+
+    /// Whether nothing hints at another process than that of the entry.
+    pub fn is_proven(&self) -> bool {
+        self.doubt.is_none()
+    }
+
+    /// Whether a connection that was opened at `opened_ms` leads to the entry's process.
+    pub fn is_reached_by(&self, opened_ms: u64) -> bool {
+        self.doubt.is_none_or(|it| opened_ms < it.since_ms)
+    }
+
+    /// When a connection was last refused or ended, while the doubt lasts.
+    pub fn doubted_ms(&self) -> Option<u64> {
+        self.doubt.map(|it| it.latest_ms)
+    }
+}
--- a/crates/core/src/selection.rs
+++ b/crates/core/src/selection.rs
@@ -101,6 +101,9 @@
     Exhausted,
     /// Endpoints serve, but none of the required software version.
     NoneOfVersion,
+    /// Endpoints of the required software version serve, but another process may have taken the place
+    /// of each.
+    Unproven,
     /// All endpoints that serve the request have asked for time.
     BackingOff {
         /// Milliseconds until the first of them takes requests again.
--- a/crates/core/src/send_history.rs
+++ b/crates/core/src/send_history.rs
@@ -24,13 +24,17 @@
     EndUnknown,
     /// Another endpoint went on with the request first.
     Superseded,
+    /// Another process may have taken the place of the endpoint, so that nothing was sent.
+    Unproven,
 }
 
 impl Failure {
     /// Whether the endpoint may have run the request.
     pub fn may_have_run(self) -> bool {
         match self {
-            Failure::Unreachable | Failure::Refused | Failure::Replaced => false,
+            Failure::Unreachable | Failure::Refused | Failure::Replaced | Failure::Unproven => {
+                false
+            }
             Failure::Broke
             | Failure::Silent
             | Failure::BadAnswer
@@ -42,7 +46,7 @@
 
     /// Whether the request reached an endpoint, so that another send counts as a retry.
     pub fn reached_endpoint(self) -> bool {
-        self != Failure::Unreachable
+        !matches!(self, Failure::Unreachable | Failure::Unproven)
     }
 }
 
@@ -53,7 +57,7 @@
     pub may_have_run: u32,
     /// Sends that reached an endpoint.
     pub reached: u32,
-    /// Sends for which no connection could be opened.
+    /// Sends for which no connection could be opened, or none that could be used.
     pub unreachable: u32,
 }
 
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -132,7 +132,7 @@
 /// The request is quarantined, continues a stream of an unknown software version, has no endpoint, or
 /// is expected to be late and should be retried after a delay.
 pub(crate) async fn choose_and_admit(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     request: &Request,
     progress: &mut RequestProgress,
 ) -> Result<(), Refusal> {
@@ -140,7 +140,7 @@
         return Err(Refusal::not_run(Reason::Quarantined));
     }
     require_version(gateway, request, progress).await?;
-    let chosen = choose_endpoint(gateway, request, progress)?;
+    let chosen = choose_endpoint(gateway, request, progress).await?;
     // Without prompt parts the prefill time is unknown, so that admission control cannot decide.
     if request.parts.is_empty() {
         progress.preselected = Some(chosen);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,7 +21,7 @@
     clock,
     connection::Connection,
     gateway::Gateway,
-    liveness,
+    liveness, process_proof,
     request::Request,
     suspects,
     upstream_response::{self, Origin},
@@ -183,6 +183,9 @@
     failure: Failure,
 ) {
     suspects::record_failure(gateway, request, &chosen.id, failure);
+    if matches!(failure, Failure::Broke | Failure::Unreachable | Failure::Silent) {
+        process_proof::record_disconnect(gateway, &chosen.id);
+    }
     if failure == Failure::Broke {
         liveness::begin_check(gateway, chosen);
     }
@@ -201,7 +204,7 @@
         | Failure::Failed => {
             health.record_failure(now_ms);
         }
-        Failure::Replaced | Failure::EndUnknown | Failure::Superseded => {}
+        Failure::Replaced | Failure::EndUnknown | Failure::Superseded | Failure::Unproven => {}
     }
 }
 
@@ -229,19 +232,29 @@
     let retryable = request.route.retry_safety.allows_resend();
     let (id, address) = (&attempt.chosen.id, attempt.chosen.address);
     let pooled = gateway.pool.take(id, address, retryable, Some(&request.id));
-    let (mut connection, mut reused) = match pooled {
+    if pooled.found_closed {
+        process_proof::record_disconnect(gateway, id);
+    }
+    let (mut connection, mut reused) = match pooled.connection {
         Some(connection) => (connection, true),
         None => (connect(gateway, attempt).await?, false),
     };
     let mut message = upstream_request(gateway, request, &attempt.chosen, last_event_id);
-    let response = loop {
+    let goes_on = request.take_up.is_some() || last_event_id.is_some();
+    let (response, sent_ms) = loop {
+        let opened_ms = connection.opened_ms;
+        if goes_on && !gateway.balancer().is_reached_by(&attempt.chosen, opened_ms) {
+            return Err(Failure::Unproven);
+        }
+        let sent_ms = clock::now_ms();
         connection.read_limit.await_head();
         match connection.sender.try_send_request(message).await {
-            Ok(response) => break response,
+            Ok(response) => break (response, sent_ms),
             Err(mut error) => match error.take_message() {
                 // Nothing was written because the endpoint had closed the pooled connection.
                 Some(unsent) if reused => {
                     message = unsent;
+                    process_proof::record_disconnect(gateway, &attempt.chosen.id);
                     connection = connect(gateway, attempt).await?;
                     reused = false;
                 }
@@ -251,11 +264,13 @@
         }
     };
     connection.read_limit.head_received();
+    let opened_ms = connection.opened_ms;
     attempt.connection = Some(connection);
     let (head, body) = response.into_parts();
     attempt.record_connection_headers(&head);
     let origin = Origin::of(&head, request, &gateway.header_names, reused);
     if origin != Origin::Unproven {
+        gateway.balancer().record_answer(&attempt.chosen.id, opened_ms, sent_ms);
         record_limit(gateway, &attempt.chosen.id, &head);
         record_leaving(gateway, &attempt.chosen, &head);
         record_backoff(gateway, &attempt.chosen, &head);
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -9,6 +9,7 @@
 use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
 
 use crate::{
+    clock,
     endpoint_stream::{EndpointStream, ReadLimit},
     request::uniform_hash,
 };
@@ -23,6 +24,8 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) address: SocketAddr,
+    /// When it was open at the latest; monotonic.
+    pub(crate) opened_ms: u64,
     /// Bounds what comes before the head of a response.
     pub(crate) read_limit: Arc<ReadLimit>,
     /// Whether it has carried a request.
@@ -51,7 +54,16 @@
         let task = tokio::spawn(driver).abort_handle();
         let idle_since = Instant::now();
         let refused_ids = Vec::new();
-        Ok(Connection { sender, address, read_limit, used: false, refused_ids, idle_since, task })
+        Ok(Connection {
+            sender,
+            address,
+            opened_ms: clock::now_ms(),
+            read_limit,
+            used: false,
+            refused_ids,
+            idle_since,
+            task,
+        })
     }
 
     /// Records that the endpoint refused a request on this connection.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -298,7 +298,7 @@
 
 /// Whether a response that may be whole or not counts as broken off, as its endpoint is gone.
 async fn is_broken_off(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     request: &Request,
     attempt: &Attempt,
     end: BodyEnd,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,20 +9,24 @@
 };
 
 use tanagergauge_core::{
-    Name, balancer::Balancer, begun_streams::BegunStreams, routing::Configuration,
-    suspects::Suspects, version_history::VersionHistory,
+    Name, balancer::Balancer, begun_streams::BegunStreams, process_identity::ListCurrency,
+    routing::Configuration, suspects::Suspects, version_history::VersionHistory,
 };
 use tokio::sync::{Notify, watch};
 
 use crate::{
     admission_controllers::AdmissionControllers, body_memory::BodyMemory, clock,
     header_names::HeaderNames, liveness::LivenessChecks, peers::PeerState, pool::Pool,
-    retry_budgets::RetryBudgets, settings::Settings, stop::Phase, suspects,
+    process_proof::ProofSearches, retry_budgets::RetryBudgets, settings::Settings, stop::Phase,
+    suspects,
 };
 use std::sync::Arc;
 
 /// Number of instances assumed to share the retry budget until the store has been read.
 const ASSUMED_INSTANCES: usize = 12;
+/// Gap between confirmations of the list of endpoints after which the store may have been away, in
+/// milliseconds. A hub reads the list every 700 ms.
+const MAX_LIST_GAP_MS: u64 = 1_500;
 
 /// State shared by all tasks of an instance. Locks are never held across an await.
 pub(crate) struct Gateway {
@@ -31,6 +35,7 @@
     pub(crate) pool: Pool,
     pub(crate) peers: PeerState,
     pub(crate) liveness_checks: LivenessChecks,
+    pub(crate) proof_searches: ProofSearches,
     pub(crate) body_memory: Arc<BodyMemory>,
     /// Progress of a graceful stop.
     pub(crate) phase: watch::Sender<Phase>,
@@ -53,6 +58,9 @@
     pub(crate) list_wanted: Notify,
     /// When the list of endpoints was last known to be current; 0 before the first read.
     endpoints_confirmed_ms: AtomicU64,
+    /// End of the last gap of [`MAX_LIST_GAP_MS`] between confirmations, or of the last era of the store; 0 if
+    /// there was none since the start.
+    endpoints_gap_end_ms: AtomicU64,
 }
 
 impl Gateway {
@@ -68,6 +76,7 @@
             pool: Pool::default(),
             peers: PeerState::default(),
             liveness_checks: LivenessChecks::default(),
+            proof_searches: ProofSearches::default(),
             body_memory: Arc::default(),
             phase: watch::Sender::new(Phase::Serving),
             in_progress: AtomicUsize::new(0),
@@ -83,6 +92,7 @@
             store_era: watch::Sender::new(0),
             list_wanted: Notify::new(),
             endpoints_confirmed_ms: AtomicU64::new(0),
+            endpoints_gap_end_ms: AtomicU64::new(0),
             settings,
         }
     }
@@ -140,7 +150,10 @@
     /// Records that the list of endpoints was current `age_ms` ago.
     pub(crate) fn confirm_endpoints(&self, age_ms: u64) {
         let at_ms = clock::now_ms().saturating_sub(age_ms).max(1);
-        self.endpoints_confirmed_ms.fetch_max(at_ms, Ordering::Relaxed);
+        let before_ms = self.endpoints_confirmed_ms.fetch_max(at_ms, Ordering::Relaxed);
+        if before_ms > 0 && at_ms > before_ms + MAX_LIST_GAP_MS {
+            self.endpoints_gap_end_ms.fetch_max(at_ms, Ordering::Relaxed);
+        }
         self.initialized.notify_waiters();
     }
 
@@ -151,10 +164,21 @@
         (at_ms > 0).then(|| clock::now_ms().saturating_sub(at_ms))
     }
 
+    /// How current the list of endpoints is.
+    pub(crate) fn list_currency(&self) -> ListCurrency {
+        // The confirmation first: a gap that ends in between makes the list look less current.
+        let confirmed_ms = self.endpoints_confirmed_ms.load(Ordering::Acquire);
+        let gap_end_ms = self.endpoints_gap_end_ms.load(Ordering::Acquire);
+        ListCurrency { confirmed_ms, gap_end_ms: (gap_end_ms > 0).then_some(gap_end_ms) }
+    }
+
     /// Records the era of the store's history.
     pub(crate) fn set_store_era(&self, era: u64) {
         self.store_era.send_if_modified(|known| {
             let is_later = era > *known;
+            if is_later && *known > 0 {
+                self.endpoints_gap_end_ms.fetch_max(clock::now_ms(), Ordering::Relaxed);
+            }
             *known = era.max(*known);
             is_later
         });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod meters;
 mod peers;
 mod pool;
+mod process_proof;
 mod program;
 mod progress;
 mod relay;
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     attempt::collect_body, clock, connection::Connection, gateway::Gateway, pool::ConnectFailed,
-    request::Request, suspects, upstream_response,
+    process_proof, request::Request, suspects, upstream_response,
 };
 
 /// Time that a process which ends may take to close its sockets.
@@ -73,7 +73,7 @@
 /// That its host accepts a connection is not enough: it does so until a process that ends has closed all
 /// its sockets.
 pub(crate) async fn is_present_after_end(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     request: &Request,
     endpoint: &SelectedEndpoint,
 ) -> bool {
@@ -88,8 +88,12 @@
             true
         }
         Presence::Full => true,
-        Presence::Gone => false,
+        Presence::Gone => {
+            process_proof::record_disconnect(gateway, &endpoint.id);
+            false
+        }
         Presence::Unreachable => {
+            process_proof::record_disconnect(gateway, &endpoint.id);
             if let Some(health) = gateway.balancer().health_mut(&endpoint.id) {
                 health.record_connect_failure(clock::now_ms());
             }
@@ -167,6 +171,7 @@
     if connected.is_ok() {
         return;
     }
+    process_proof::record_disconnect(&gateway, &endpoint);
     if let Some(health) = gateway.balancer().health_mut(&endpoint) {
         health.record_connect_failure(clock::now_ms());
     }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -60,6 +60,7 @@
     let (counts, peer_loads_age_ms) = {
         let balancer = gateway.balancer();
         gauge!("tanagergauge_endpoint_limits").set(as_f64(balancer.limits().len()));
+        gauge!("tanagergauge_unproven_endpoints").set(as_f64(balancer.unproven_count()));
         gauge!("tanagergauge_endpoint_backoffs").set(as_f64(balancer.backoff_count(now_ms)));
         (balancer.endpoint_counts(now_ms), balancer.peer_loads_age_ms(now_ms))
     };
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, header::HOST};
-use tanagergauge_core::{Name, suspects::SUSPECT_BYTES};
+use tanagergauge_core::{Name, suspects::SUSPECT_BYTES, version_selection::ProcessDoubt};
 use tokio::time::{Instant, timeout_at};
 
 use super::{
@@ -13,7 +13,7 @@
     message::{self, Decoded, SyncRequest, SyncResponse, VersionResponse},
     sync::Report,
 };
-use crate::{attempt::collect_body, gateway::Gateway};
+use crate::{attempt::collect_body, clock, gateway::Gateway};
 
 /// Log target that deployed log filters select; it is independent of the module path.
 const LOG_TARGET: &str = "tanagergauge_gateway::peers::sync";
@@ -22,6 +22,8 @@
 pub(super) struct Exchange {
     pub(super) response: SyncResponse,
     pub(super) versions: VersionResponse,
+    /// Endpoints whose processes may have been replaced.
+    pub(super) doubts: Vec<ProcessDoubt>,
     /// Size of report and response together, without suspects and software versions.
     pub(super) load_bytes: usize,
 }
@@ -42,14 +44,15 @@
     timeout: Duration,
 ) -> Option<Exchange> {
     let deadline = Instant::now() + timeout;
-    let body = match message::encode(&report.request, &report.versions.report) {
+    let doubts = gateway.balancer().process_doubts(clock::now_ms());
+    let body = match message::encode(&report.request, &report.versions.report, &doubts) {
         Ok(body) => body,
         Err(error) => {
             tracing::error!(target: LOG_TARGET, %error, "cannot encode a report");
             return None;
         }
     };
-    let mut connection = match gateway.pool.take(name, control, true, None) {
+    let mut connection = match gateway.pool.take(name, control, true, None).connection {
         Some(connection) => connection,
         None => timeout_at(deadline, gateway.pool.connect(control)).await.ok()?.ok()?,
     };
@@ -65,9 +68,9 @@
     let bytes = collect_body(gateway, response.into_body(), deadline).await.ok()?;
     gateway.pool.put(name, connection, None);
     match message::decode(&bytes) {
-        Ok(Decoded { message: response, versions, base_bytes }) => {
+        Ok(Decoded { message: response, versions, doubts, base_bytes }) => {
             let load_bytes = load_bytes(&report.request, &response, sent_bytes + base_bytes);
-            Some(Exchange { response, versions, load_bytes })
+            Some(Exchange { response, versions, doubts, load_bytes })
         }
         Err(error) => {
             tracing::warn!(target: LOG_TARGET, %error, peer = %name, "cannot decode a peer's response");
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,7 +1,8 @@
 //! Messages between instances, encoded as postcard.
 //!
-//! A message is a report or response, and after it what concerns software versions, which instances of
-//! earlier releases neither send nor read.
+//! A message is a report or response, after it what concerns software versions, and then, if there are any,
+//! the endpoints whose processes may have been replaced. Instances of earlier releases neither send nor
+//! read what was added later.
 
 use std::net::SocketAddr;
 
@@ -17,6 +18,7 @@
     suspects::{Suspect, SuspectUpdates},
     update_log::LogPosition,
     version_history::{ServiceVersions, VersionUpdates},
+    version_selection::ProcessDoubt,
 };
 
 /// Role of an instance that sends a report.
@@ -137,17 +139,21 @@
     pub(crate) base_bytes: usize,
 }
 
-/// Encodes a report or response, and what it tells of software versions.
+/// Encodes a report or response, what it tells of software versions, and doubts.
 ///
 /// # Errors
 /// Never for the messages of this module.
 pub(crate) fn encode<M: Serialize, V: Serialize>(
     message: &M,
     versions: &V,
+    doubts: &[ProcessDoubt],
 ) -> Result<Encoded, postcard::Error> {
     let bytes = postcard::to_stdvec(message)?;
     let base_bytes = bytes.len();
-    let bytes = postcard::to_extend(versions, bytes)?;
+    let mut bytes = postcard::to_extend(versions, bytes)?;
+    if !doubts.is_empty() {
+        bytes = postcard::to_extend(doubts, bytes)?;
+    }
     Ok(Encoded { bytes, base_bytes })
 }
 
@@ -155,6 +161,8 @@
 pub(crate) struct Decoded<M, V> {
     pub(crate) message: M,
     pub(crate) versions: V,
+    /// Endpoints whose processes may have been replaced.
+    pub(crate) doubts: Vec<ProcessDoubt>,
     /// Size without what concerns software versions.
     pub(crate) base_bytes: usize,
 }
@@ -167,8 +175,17 @@
     bytes: &[u8],
 ) -> Result<Decoded<M, V>, postcard::Error> {
     let (message, rest) = postcard::take_from_bytes(bytes)?;
-    let versions = if rest.is_empty() { V::default() } else { postcard::from_bytes(rest)? };
-    Ok(Decoded { message, versions, base_bytes: bytes.len() - rest.len() })
+    let base_bytes = bytes.len() - rest.len();
+    let (versions, rest) = take_or_default(rest)?;
+    let (doubts, _) = take_or_default(rest)?;
+    Ok(Decoded { message, versions, doubts, base_bytes })
+}
+
+/// Decodes a value and returns it with the bytes after it; without bytes it has its default.
+fn take_or_default<T: DeserializeOwned + Default>(
+    bytes: &[u8],
+) -> Result<(T, &[u8]), postcard::Error> {
+    if bytes.is_empty() { Ok(Default::default()) } else { postcard::take_from_bytes(bytes) }
 }
 
 impl Position {
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -7,7 +7,7 @@
     message::{self, Decoded, SenderRole, SyncRequest, SyncResponse, VersionReport},
     news, versions,
 };
-use crate::{clock, follow::StoreFollower};
+use crate::{clock, follow::StoreFollower, process_proof};
 
 /// Applies a report and returns the encoded response; `None` if the report cannot be decoded.
 pub(crate) fn handle(follower: &StoreFollower, body: &[u8]) -> Option<Bytes> {
@@ -21,7 +21,10 @@
     let sender = report.message.sender;
     let response = apply(follower, report.message);
     let versions = versions::apply_report(follower.gateway(), sender, report.versions);
-    match message::encode(&response, &versions) {
+    let gateway = follower.gateway();
+    process_proof::merge(gateway, report.doubts);
+    let doubts = gateway.balancer().process_doubts(clock::now_ms());
+    match message::encode(&response, &versions, &doubts) {
         Ok(encoded) => Some(Bytes::from(encoded.bytes)),
         Err(error) => {
             tracing::error!(%error, "cannot encode the response to a peer");
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -22,7 +22,7 @@
     news, registration, version_records,
     versions::{self, OutgoingVersions},
 };
-use crate::{clock, follow::StoreFollower, gateway::Gateway, store::Store};
+use crate::{clock, follow::StoreFollower, gateway::Gateway, process_proof, store::Store};
 
 /// Time-out for a response of this zone's hub.
 pub(super) const ZONE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -251,13 +251,14 @@
 /// Applies the limits, suspects, versions and instances in a peer's response, records what it knows, and
 /// updates the cursors of the exchange.
 pub(super) fn apply_findings(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     peer: &Name,
     report: &Report,
     exchange: &mut Exchange,
 ) {
     let versions = std::mem::take(&mut exchange.versions);
     versions::apply_response(gateway, peer, &report.versions, versions);
+    process_proof::merge(gateway, std::mem::take(&mut exchange.doubts));
     let response = &mut exchange.response;
     let limits = std::mem::take(&mut response.limits);
     gateway.balancer().limits_mut().merge(limits, clock::now_ms());
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -38,6 +38,15 @@
     keep_alive: Option<Duration>,
 }
 
+/// What was taken from the pool.
+#[derive(Debug)]
+pub(crate) struct Taken {
+    /// `None` if no connection is fresh enough.
+    pub(crate) connection: Option<Connection>,
+    /// The endpoint has closed a connection that was kept.
+    pub(crate) found_closed: bool,
+}
+
 /// No connection could be opened, so nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectFailed {
@@ -56,15 +65,19 @@
         address: SocketAddr,
         retryable: bool,
         request_id: Option<&str>,
-    ) -> Option<Connection> {
+    ) -> Taken {
         let limit = if retryable { MAX_IDLE_TIME } else { MAX_IDLE_TIME_NON_RETRYABLE };
         let mut pool = self.lock();
-        let idle = pool.get_mut(endpoint)?;
+        let Some(idle) = pool.get_mut(endpoint) else {
+            return Taken { connection: None, found_closed: false };
+        };
+        let found_closed = idle.iter().any(Idle::was_closed);
         idle.retain(|it| it.is_usable(address));
         let is_fresh = |it: &Idle| it.connection.sender.is_ready() && it.age() < limit;
         let can_carry = |it: &Idle| request_id.is_none_or(|id| it.connection.can_carry(id));
-        let at = idle.iter().rposition(|it| is_fresh(it) && can_carry(it))?;
-        Some(idle.remove(at).connection)
+        let at = idle.iter().rposition(|it| is_fresh(it) && can_carry(it));
+        let connection = at.map(|it| idle.remove(it).connection);
+        Taken { connection, found_closed }
     }
 
     /// Opens a connection.
@@ -104,13 +117,17 @@
         self.lock().remove(endpoint);
     }
 
-    /// Closes connections that were idle for too long.
-    pub(crate) fn expire(&self) {
+    /// Closes connections that were idle for too long. Returns the endpoints that have closed one
+    /// before.
+    pub(crate) fn expire(&self) -> Vec<Name> {
         let mut pool = self.lock();
+        let closed = pool.iter().filter(|(_, idle)| idle.iter().any(Idle::was_closed));
+        let closed = closed.map(|(endpoint, _)| endpoint.clone()).collect();
         for idle in pool.values_mut() {
             idle.retain(|it| it.is_usable(it.connection.address));
         }
         pool.retain(|_, idle| !idle.is_empty());
+        closed
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<Name, Vec<Idle>>> {
@@ -124,10 +141,18 @@
     }
 
     fn is_usable(&self, address: SocketAddr) -> bool {
+        let open = !self.connection.sender.is_closed() && self.connection.address == address;
+        open && self.is_kept()
+    }
+
+    /// Whether the endpoint closed the connection although it was to be kept.
+    fn was_closed(&self) -> bool {
+        self.connection.sender.is_closed() && self.is_kept()
+    }
+
+    fn is_kept(&self) -> bool {
         let keep_alive =
             self.keep_alive.map_or(MAX_IDLE_TIME, |it| it.mul_f64(KEEP_ALIVE_FRACTION));
-        let limit = keep_alive.min(MAX_IDLE_TIME);
-        let open = !self.connection.sender.is_closed() && self.connection.address == address;
-        open && self.age() < limit
+        self.age() < keep_alive.min(MAX_IDLE_TIME)
     }
 }
--- /dev/null
+++ b/crates/gateway/src/process_proof.rs
@@ -0,0 +1,147 @@
+//! Finds out whether the process that answers at an endpoint's address is the one of its entry, before a
+//! stream goes on there: another process may run another software version.
+
+use std::{
+    collections::HashSet,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tanagergauge_core::{Name, selection::SelectedEndpoint, version_selection::ProcessDoubt};
+use tokio::time::{Instant, sleep};
+
+use crate::{clock, connection::Connection, gateway::Gateway, request::Request};
+
+/// Longest wait of a request for proof of an endpoint.
+const MAX_PROOF_WAIT: Duration = Duration::from_millis(800);
+/// Interval at which it is looked for.
+const PROOF_INTERVAL: Duration = Duration::from_millis(20);
+/// How long a connection is held open for proof. Without the store there is none.
+const MAX_HOLD_TIME: Duration = Duration::from_secs(3);
+/// Time after a failed attempt within which no other one begins.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Endpoints for which proof is being looked for.
+#[derive(Debug, Default)]
+pub(crate) struct ProofSearches {
+    running: Mutex<HashSet<Name>>,
+}
+
+impl ProofSearches {
+    fn lock(&self) -> MutexGuard<'_, HashSet<Name>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Records that a connection to an endpoint was refused or ended, or that an answer did not come, and
+/// begins to look for proof that its process is still the same.
+pub(crate) fn record_disconnect(gateway: &Arc<Gateway>, endpoint: &Name) {
+    if gateway.balancer().record_disconnect(endpoint, clock::now_ms()) {
+        tracing::info!(%endpoint, "another process may have taken the place of an endpoint");
+        begin_search(gateway, endpoint);
+    }
+}
+
+/// Records what a peer told of endpoints whose processes may have been replaced.
+pub(crate) fn merge(gateway: &Arc<Gateway>, doubts: Vec<ProcessDoubt>) {
+    if doubts.is_empty() {
+        return;
+    }
+    let new = gateway.balancer().merge_process_doubts(doubts, clock::now_ms());
+    for endpoint in new {
+        tracing::info!(%endpoint, "a peer tells that another process may have taken the place of an endpoint");
+        begin_search(gateway, &endpoint);
+    }
+}
+
+/// Software version of the process that a request was sent to, once it is proven. `None` if that takes
+/// too long, or another process has taken its place.
+pub(crate) async fn wait_for_version(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    endpoint: &SelectedEndpoint,
+) -> Option<Name> {
+    let wait_end = wait_end(request);
+    loop {
+        let version = gateway.balancer().proven_version(endpoint).cloned();
+        if version.is_some() || Instant::now() >= wait_end {
+            return version;
+        }
+        search_at_once(gateway, [endpoint.id.clone()]).await;
+    }
+}
+
+/// When a request stops waiting for proof.
+pub(crate) fn wait_end(request: &Request) -> Instant {
+    request.deadline.min(Instant::now() + MAX_PROOF_WAIT)
+}
+
+/// Looks for proof of endpoints that a request waits for, and returns soon.
+pub(crate) async fn search_at_once(
+    gateway: &Arc<Gateway>,
+    endpoints: impl IntoIterator<Item = Name>,
+) {
+    for it in endpoints {
+        begin_search(gateway, &it);
+    }
+    gateway.list_wanted.notify_one();
+    sleep(PROOF_INTERVAL).await;
+}
+
+/// Looks for proof of an endpoint in the background, unless that is being done.
+fn begin_search(gateway: &Arc<Gateway>, endpoint: &Name) {
+    if gateway.proof_searches.lock().insert(endpoint.clone()) {
+        let (gateway, endpoint) = (Arc::clone(gateway), endpoint.clone());
+        tokio::spawn(async move {
+            if !search(&gateway, &endpoint).await {
+                sleep(RETRY_INTERVAL).await;
+            }
+            gateway.proof_searches.lock().remove(&endpoint);
+        });
+    }
+}
+
+/// Returns whether the endpoint's process is proven to be that of its entry.
+async fn search(gateway: &Gateway, endpoint: &Name) -> bool {
+    let address = gateway.balancer().info(endpoint).map(|it| it.address);
+    let Some(address) = address else { return false };
+    let accepted_ms = clock::now_ms();
+    let Ok(connection) = gateway.pool.connect(address).await else {
+        gateway.balancer().record_disconnect(endpoint, clock::now_ms());
+        return false;
+    };
+    let is_proven = hold(gateway, endpoint, &connection, accepted_ms).await;
+    if is_proven {
+        let held_ms = clock::now_ms().saturating_sub(accepted_ms);
+        tracing::info!(%endpoint, held_ms, "the endpoint's process is that of its entry");
+        gateway.pool.put(endpoint, connection, None);
+    }
+    is_proven
+}
+
+/// Holds a connection open until the process that accepted it must have written its entry.
+async fn hold(
+    gateway: &Gateway,
+    endpoint: &Name,
+    connection: &Connection,
+    accepted_ms: u64,
+) -> bool {
+    let hold_end = Instant::now() + MAX_HOLD_TIME;
+    while Instant::now() < hold_end {
+        sleep(PROOF_INTERVAL).await;
+        if connection.sender.is_closed() {
+            gateway.balancer().record_disconnect(endpoint, clock::now_ms());
+            return false;
+        }
+        // Another connection ended meanwhile, so that this one has to be opened again.
+        if gateway.balancer().doubted_ms(endpoint).is_some_and(|it| it > accepted_ms) {
+            return false;
+        }
+        let list = gateway.list_currency();
+        let now_ms = clock::now_ms();
+        if gateway.balancer().record_unchanged_entry(endpoint, accepted_ms, list, now_ms) {
+            return true;
+        }
+    }
+    false
+}
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -18,7 +18,7 @@
     follow::StoreFollower,
     gateway::Gateway,
     header_names::HeaderNames,
-    logs, meters, peers,
+    logs, meters, peers, process_proof,
     settings::Settings,
     socket, stop,
     store::{Decoders, Store},
@@ -111,7 +111,9 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        gateway.pool.expire();
+        for endpoint in gateway.pool.expire() {
+            process_proof::record_disconnect(&gateway, &endpoint);
+        }
     }
 }
 
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -81,6 +81,7 @@
             %endpoint,
             %failure,
             software_version = self.last_choice.as_ref().map(|it| &*it.software_version),
+            incarnation = self.last_choice.as_ref().map(|it| it.incarnation),
             expected_ms = self.last_choice.as_ref().map(|it| it.expected_ms as u64),
             at_ms = clock::elapsed_ms(request.arrived),
             left_ms = clock::as_ms(request.time_left()),
@@ -93,7 +94,10 @@
         );
         self.send_history.record_failure(failure);
         self.last_failure = Some(failure);
-        self.tried.push(endpoint.clone());
+        // Nothing was sent, and the endpoint may be proven soon.
+        if failure != Failure::Unproven {
+            self.tried.push(endpoint.clone());
+        }
     }
 
     /// Begins to watch for the next endpoint that begins a success response.
@@ -139,6 +143,7 @@
             reason = reason.map(<&str>::from),
             endpoint = self.last_choice.as_ref().map(|it| &*it.id),
             software_version = self.last_choice.as_ref().map(|it| &*it.software_version),
+            incarnation = self.last_choice.as_ref().map(|it| it.incarnation),
             resumes = request.take_up.as_ref().map(|it| it.resumes.as_deref().unwrap_or("")),
             version_source = self.version_source.map(<&str>::from),
             expected_ms = self.last_choice.as_ref().map(|it| it.expected_ms as u64),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,7 +30,7 @@
     attempt::{self, Attempt},
     clock,
     gateway::Gateway,
-    liveness,
+    liveness, process_proof,
     progress::RequestProgress,
     request::Request,
     resumption::{Resuming, Resumption, SilentStep, SilentUpstream, Upstream},
@@ -220,16 +220,19 @@
     }
 
     /// Records the software version at which a stream began whose first events are forwarded. It goes on
-    /// at that version only: what two versions write does not fit together.
+    /// at that version only: what two versions write does not fit together. While it is not proven which
+    /// process answers, the version is unknown.
     fn record_begun(&mut self) {
         let State::Streaming(upstream) = &self.state else { return };
         if !self.events.can_resume() || self.has_begun {
             return;
         }
+        let required = self.progress.required_version.clone();
+        let proven = || self.gateway.balancer().proven_version(&upstream.attempt.chosen).cloned();
+        let Some(version) = required.or_else(proven) else { return };
         self.has_begun = true;
-        let version = &upstream.attempt.chosen.software_version;
-        take_up::record_begun(&self.gateway, &self.request, version);
-        self.progress.required_version.get_or_insert_with(|| version.clone());
+        take_up::record_begun(&self.gateway, &self.request, &version);
+        self.progress.required_version = Some(version);
     }
 
     /// Ready if the caller's deadline has passed, or the stream has stalled and another endpoint can
@@ -376,7 +379,17 @@
             silent_ms = clock::as_ms(self.last_data.elapsed()),
             "stream broke; another endpoint is asked to continue"
         );
+        let has_events = self.events.event_count() > 0;
+        let unknown = progress.last_choice.clone().filter(|_| has_events);
+        let unknown = unknown.filter(|_| progress.required_version.is_none());
         Box::pin(async move {
+            if let Some(begun_at) = unknown {
+                let version = process_proof::wait_for_version(&gateway, &request, &begun_at).await;
+                if version.is_none() {
+                    return (progress, None);
+                }
+                progress.required_version = version;
+            }
             let opening = open_response(&gateway, &request, &mut progress, last_id.as_ref());
             let opened = tokio::select! {
                 biased;
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -17,7 +17,7 @@
     attempt::{self, Attempt, UpstreamResponse},
     clock,
     gateway::Gateway,
-    meters,
+    meters, process_proof,
     progress::{RequestProgress, SHORT_RETRY_MS},
     request::{Request, uniform_hash},
     response::Refusal,
@@ -264,7 +264,7 @@
         }
         let chosen = match progress.preselected.take() {
             Some(chosen) => chosen,
-            None => choose_endpoint(gateway, request, progress)?,
+            None => choose_endpoint(gateway, request, progress).await?,
         };
         progress.last_choice = Some(chosen.clone());
         progress.set_framing(None);
@@ -352,18 +352,17 @@
     }
 }
 
-/// Chooses an endpoint for the next attempt.
+/// Chooses an endpoint for the next attempt. A stream that goes on waits for one whose process is proven.
 ///
 /// # Errors
 /// No endpoint is available.
-pub(crate) fn choose_endpoint(
-    gateway: &Gateway,
+pub(crate) async fn choose_endpoint(
+    gateway: &Arc<Gateway>,
     request: &Request,
     progress: &mut RequestProgress,
 ) -> Result<SelectedEndpoint, Refusal> {
     progress.list_age_ms = gateway.endpoints_age_ms().unwrap_or(u64::MAX);
-    let version = progress.required_version.as_ref();
-    let chosen = select_endpoint(gateway, request, &progress.tried, version);
+    let chosen = select_proven(gateway, request, progress).await;
     if let (Err(error), Some(failure)) = (&chosen, progress.last_failure) {
         let software_version = progress.required_version.as_deref();
         tracing::info!(request = %request.id, %failure, decision = %error, software_version, "request is not sent again");
@@ -373,6 +372,9 @@
             exhausted_refusal(gateway, request, progress)
         }
         NoEndpoint::NoneOfVersion => Refusal::not_run(Reason::VersionGone),
+        NoEndpoint::Unproven => {
+            Refusal::not_run(Reason::VersionUnproven).retry_after_ms(SHORT_RETRY_MS)
+        }
         NoEndpoint::NoneServing | NoEndpoint::Exhausted => {
             Refusal::not_run(Reason::NoEndpoint).retry_after_ms(SHORT_RETRY_MS)
         }
@@ -384,6 +386,26 @@
     })
 }
 
+/// Selects an endpoint for the next attempt. While none of the required software version is proven, it
+/// looks for proof for a short time.
+async fn select_proven(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    progress: &RequestProgress,
+) -> Result<SelectedEndpoint, NoEndpoint> {
+    let version = progress.required_version.as_ref();
+    let wait_end = process_proof::wait_end(request);
+    loop {
+        match (select_endpoint(gateway, request, &progress.tried, version), version) {
+            (Err(NoEndpoint::Unproven), Some(version)) if Instant::now() < wait_end => {
+                let unproven = gateway.balancer().unproven(&request.service, version);
+                process_proof::search_at_once(gateway, unproven).await;
+            }
+            (selected, _) => return selected,
+        }
+    }
+}
+
 /// Selects an endpoint other than those `tried`, of a software version if one is required.
 fn select_endpoint(
     gateway: &Gateway,
@@ -449,6 +471,7 @@
         Some(Failure::Silent | Failure::Superseded) => Reason::EndpointTimeout,
         Some(Failure::BadAnswer) => Reason::BadAnswer,
         Some(Failure::Broke | Failure::Failed | Failure::EndUnknown) => Reason::EndpointBroke,
+        Some(Failure::Unproven) => Reason::VersionUnproven,
         None => Reason::NoEndpoint,
     };
     if progress.send_history.may_have_run > 0 {
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -66,7 +66,8 @@
         | Failure::BadAnswer
         | Failure::Failed
         | Failure::EndUnknown
-        | Failure::Superseded => {}
+        | Failure::Superseded
+        | Failure::Unproven => {}
     }
 }
 
--- a/crates/gateway/src/view/endpoint.rs
+++ b/crates/gateway/src/view/endpoint.rs
@@ -41,6 +41,7 @@
                 let (leaving, service) = (info.leaving, info.service.clone());
                 let software_version = info.software_version.clone();
                 if has_restarted(gateway, &info) {
+                    tracing::info!(target: LOG_TARGET, endpoint = %key, incarnation = info.incarnation, "endpoint started again");
                     suspects::record_endpoint_lost(gateway, key);
                 }
                 let changed = gateway.balancer().upsert(info);
