--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod meters;
 mod peers;
 mod pool;
+mod process_proof;
 mod program;
 mod progress;
 mod relay;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,7 +25,7 @@
     clock,
     continuation::{StreamKind, display_id},
     gateway::Gateway,
-    liveness,
+    liveness, process_proof,
     progress::RequestProgress,
     request::Request,
     resumption::{Resuming, Resumption, SilentStep, SilentUpstream, Upstream},
@@ -244,16 +244,19 @@
     }
 
     /// Records the software version at which a stream began whose first events are forwarded. It goes on
-    /// at that version only: what two versions write does not fit together.
+    /// at that version only: what two versions write does not fit together. While it is not proven which
+    /// process answers, the version is unknown.
     fn record_begun(&mut self) {
         let State::Streaming(upstream) = &self.state else { return };
         if !self.events.can_resume() || self.has_begun {
             return;
         }
+        let required = self.progress.required_version.clone();
+        let proven = || self.gateway.balancer().proven_version(&upstream.attempt.chosen).cloned();
+        let Some(version) = required.or_else(proven) else { return };
         self.has_begun = true;
-        let version = &upstream.attempt.chosen.software_version;
-        take_up::record_begun(&self.gateway, &self.request, version);
-        self.progress.required_version.get_or_insert_with(|| version.clone());
+        take_up::record_begun(&self.gateway, &self.request, &version);
+        self.progress.required_version = Some(version);
     }
 
     /// Ready if the caller's deadline has passed, or the stream has stalled and another endpoint can
@@ -276,6 +279,7 @@
         let State::Streaming(upstream) = &self.state else { return false };
         let endpoint = &upstream.attempt.chosen;
         if self.events.can_continue()
+            && self.knows_version()
             && retry::try_replace(&self.gateway, &self.request, &mut self.progress, endpoint)
         {
             return true;
@@ -286,6 +290,11 @@
         false
     }
 
+    /// Whether it is known which version has to go on with the stream, or any may begin it.
+    fn knows_version(&self) -> bool {
+        self.events.event_count() == 0 || self.progress.required_version.is_some()
+    }
+
     /// Records that bytes became forwardable. An endpoint that goes on after a stall is sound.
     fn record_data(&mut self) {
         if self.stall.record_data()
@@ -382,12 +391,21 @@
             last_event_id = last_id.as_ref().map(display_id),
             "stream broke; another endpoint is asked to continue"
         );
+        let is_unknown = self.events.event_count() > 0 && progress.required_version.is_none();
+        let begun_at = progress.last_choice.clone().filter(|_| is_unknown);
         Box::pin(async move {
-            let opening = open_response(&gateway, &request, &mut progress, last_id.as_ref());
+            let opening = async {
+                if let Some(begun_at) = begun_at {
+                    let version =
+                        process_proof::wait_for_version(&gateway, &request, &begun_at).await?;
+                    progress.required_version = Some(version);
+                }
+                open_response(&gateway, &request, &mut progress, last_id.as_ref()).await.ok()
+            };
             let opened = tokio::select! {
                 biased;
                 () = cancel.notified() => None,
-                opened = opening => opened.ok(),
+                opened = opening => opened,
             };
             (progress, opened)
         })
