--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -266,6 +266,10 @@
             Some(chosen) => chosen,
             None => choose_endpoint(gateway, request, progress).await?,
         };
+        if last_event_id.is_some() {
+            // An endpoint that is asked again may be chosen although its process is not proven.
+            process_proof::wait_for_version(gateway, request, &chosen).await;
+        }
         progress.last_choice = Some(chosen.clone());
         progress.set_framing(None);
         let sending = attempt::send(gateway, request, chosen.clone(), last_event_id);
