Let a version count for 65 s after its last endpoint left the list

What callers saw: all instances were killed, and the servers of v1 were replaced by v1.1 before they started again. A stream of v1 that was taken up 30 s or 60 s after the start went on at v1.1; 5 and 15 s after it, it was refused.

Cause: a version counted for 30 s, longer than callers' present time limits (15 s), but not for those who return a minute later.

Change: 65 s, a minute and the time of a start. What instances and the record remember stays as small as it was. The cost: streams that no instance knows are refused for 65 s instead of 30 s after a rollout or a start without a record. Known streams are not concerned.

--- a/crates/core/src/version_history.rs
+++ b/crates/core/src/version_history.rs
@@ -16,9 +16,9 @@
     update_log::{LogPosition, UpdateLog},
 };
 
-/// How long a version counts after its last endpoint left the list, in milliseconds. It is longer
-/// than an endpoint takes to end and its callers to return.
-pub const VERSION_RETENTION_MS: u64 = 30_000;
+/// How long a version counts after its last endpoint left the list, in milliseconds: for callers that
+/// return within a minute, and the time that instances take to start again.
+pub const VERSION_RETENTION_MS: u64 = 65_000;
 /// Largest age of the list of endpoints at which it tells which versions are in service, in
 /// milliseconds. A hub reads the list every 700 ms.
 const MAX_LIST_AGE_MS: u64 = 1_500;
--- a/crates/core/tests/version_history.rs
+++ b/crates/core/tests/version_history.rs
@@ -126,6 +126,9 @@
     a_version_that_left_while_all_were_dark_counts:
         restarted(store(&mut long_running(&["v1"]), LATER_MS), 60_000, &["v2"]),
         at LATER_MS - 1 => SoleVersion::Several;
+    a_version_that_left_while_all_were_dark_counts_a_minute_later:
+        restarted(store(&mut long_running(&["v1"]), LATER_MS), 1_000, &["v2"]),
+        at START_MS + 61_000 => SoleVersion::Several;
     a_version_that_left_before_the_kill_counts: {
         let mut killed = long_running(&["v1", "v2"]);
         observe(&mut killed, &["v2"], LATER_MS + 1_000);
