Daemon: take a head whose lines end in lone line feeds for no answer

The beginning of the rest of the head was passed on as the whole body of a service's answer where the length stood before the two line feeds, and an answer of length 0 counted as whole.

Every connection of the pool scans the heads that it awaits (`HeadChecked`, with the core's `HeadScanner`); an attempt whose head is none counts as broken off, and may have run. Cuts at other places, short bodies, and 30 answers in place of a continuation of a stream were tried, and held before.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod follower;
 pub mod forward;
 pub mod front;
+pub mod head_check;
 pub mod headers;
 pub mod idempotency;
 pub mod instance;
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -9,7 +9,14 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
+};
 use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
@@ -17,7 +24,10 @@
     time::timeout,
 };
 
-use crate::meter::{Meter, Metered};
+use crate::{
+    head_check::{AwaitedHeads, HeadChecked},
+    meter::{Meter, Metered},
+};
 
 /// Idle connections kept for each endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
@@ -26,7 +36,11 @@
 const BUFFER_BYTES: usize = 32 << 10;
 
 /// A connection that can send one request at a time.
-pub type Connection = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    awaited_heads: Arc<AwaitedHeads>,
+}
 
 /// Idle connections by address.
 ///
@@ -51,6 +65,41 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectFailed;
 
+impl Connection {
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    /// There is none.
+    pub async fn send_request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        self.awaited_heads.await_head();
+        self.sender.send_request(request).await
+    }
+
+    /// The same, with the request in the error if it was never written.
+    ///
+    /// # Errors
+    /// There is none.
+    pub async fn try_send_request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.awaited_heads.await_head();
+        self.sender.try_send_request(request).await
+    }
+
+    /// Whether it cannot send any more.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+}
+
 impl Pool {
     /// A pool whose connections' bytes are counted.
     pub fn metered(meter: Arc<Meter>) -> Pool {
@@ -127,7 +176,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         connections.retain(|it| !it.is_closed());
-        let ready = connections.iter().rposition(SendRequest::is_ready)?;
+        let ready = connections.iter().rposition(Connection::is_ready)?;
         Some(connections.swap_remove(ready))
     }
 }
@@ -142,6 +191,8 @@
 where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
+    let awaited_heads = Arc::<AwaitedHeads>::default();
+    let socket = HeadChecked::new(socket, Arc::clone(&awaited_heads));
     let opened =
         http1::Builder::new().max_buf_size(BUFFER_BYTES).handshake(TokioIo::new(socket)).await;
     let (sender, connection) = opened.map_err(|_| ConnectFailed)?;
@@ -149,5 +200,5 @@
         // A broken connection shows at the request that uses it.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Connection { sender, awaited_heads })
 }
