Daemon: pass no change of protocol on, nor two lengths

What callers saw: a service's 101 was passed on as `answered`, and so was an answer to HEAD whose lengths contradict each other or are no numbers.

Both are `bad_answer` with outcome `unknown` now.

Measured: `cut_heads` of the daemon, a_change_of_protocol and two_lengths failed before; all pass.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -7,7 +7,7 @@
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::Incoming,
-    header::{HOST, HeaderValue},
+    header::{CONTENT_LENGTH, HOST, HeaderValue},
 };
 use tanagergauge_core::{Name, Reason};
 use tokio::time::timeout;
@@ -153,6 +153,10 @@
     is_kept_connection: bool,
 ) -> Option<Failure> {
     let map = response.headers();
+    if response.status().is_informational() || !has_valid_length(map) {
+        // A change of protocol, which nobody asked for, or a head that contradicts itself.
+        return Some(Failure::after_send(Reason::BadAnswer));
+    }
     let is_ours = echoes(map, &headers::REQUEST_ID, &call.request_id)
         && echoes(map, &headers::ATTEMPT, &attempt.to_string());
     if !is_ours {
@@ -174,6 +178,14 @@
     None
 }
 
+/// Whether a response announces one length at most. hyper checks that only if a body follows.
+fn has_valid_length(map: &HeaderMap) -> bool {
+    let mut values = map.get_all(CONTENT_LENGTH).iter().map(HeaderValue::as_bytes);
+    let Some(first) = values.next() else { return true };
+    let is_number = !first.is_empty() && first.iter().all(u8::is_ascii_digit);
+    is_number && values.all(|it| it == first)
+}
+
 /// Whether a header is absent or says what was sent.
 fn echoes(map: &HeaderMap, name: &hyper::header::HeaderName, sent: &str) -> bool {
     map.get_all(name).iter().all(|it| it.as_bytes() == sent.as_bytes())
--- a/crates/daemon/tests/cut_heads.rs
+++ b/crates/daemon/tests/cut_heads.rs
@@ -107,12 +107,20 @@
         "HTTP/1.1 103 Early Hints\r\nLink: a",
         "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
     ];
+    a_change_of_protocol: [
+        "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nnot for callers",
+    ];
     heads_that_are_none: [
         "data: [DONE]\n\n",
         "<html>not for callers</html>\r\n\r\n",
         "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nX-Note: a\r\n b\r\nContent-Length: 0\r\n\r\n",
     ];
+    two_lengths: [
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 0\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nContent-Length: +0\r\n\r\n",
+    ];
     two_ids: [
         "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nX-Attempt: 2\r\nContent-Length: 2\r\n\r\n{}",
     ];
