Daemon: a stream that begins after its first token is no answer

What callers saw: an engine that says `X-Resumed-From: 5` to a request of which no token was delivered had its stream passed on, without its first tokens, up to `[DONE]`.

Cause: the place was compared only after a token had been delivered, and only its first value. Now all values must say the place, and one must be there once a token was delivered.

Measured: `cut_heads` of the daemon, a_stream_that_begins_after_its_first_token_is_no_answer failed before, passes.

--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -317,13 +317,15 @@
         }
     }
 
-    /// Whether the endpoint goes on exactly after what was delivered.
+    /// Whether the endpoint goes on exactly after what was delivered. It need not say where a stream
+    /// begins of which no token was delivered.
     fn resumes_in_place(&self, map: &HeaderMap) -> bool {
-        if self.delivered.tokens == 0 {
-            return true;
-        }
-        let said = map.get(headers::RESUMED_FROM).and_then(|it| it.to_str().ok());
-        said.and_then(|it| it.parse::<u64>().ok()) == Some(self.delivered.tokens)
+        let delivered = self.delivered.tokens;
+        let is_here = |it: &HeaderValue| {
+            it.to_str().ok().and_then(|it| it.parse::<u64>().ok()) == Some(delivered)
+        };
+        let mut said = map.get_all(headers::RESUMED_FROM).iter().peekable();
+        (delivered == 0 || said.peek().is_some()) && said.all(is_here)
     }
 }
 
--- a/crates/daemon/tests/cut_heads.rs
+++ b/crates/daemon/tests/cut_heads.rs
@@ -278,3 +278,15 @@
         assert!(begun > 0, "{status}: no stream began at the engine");
     }
 }
+
+/// A stream that is not resumed begins with its first token, whatever its endpoint says.
+#[tokio::test]
+async fn a_stream_that_begins_after_its_first_token_is_no_answer() {
+    let bytes = unframed!(
+        "200",
+        "Content-Type: text/event-stream\r\nX-Resumed-From: 5\r\n",
+        concat!(event!(), "data: [DONE]\n\n")
+    );
+    let (fleet, _endpoints) = raw_fleet(bytes.as_bytes()).await;
+    assert_unknown(&chat().stream().send(fleet.instances[0].address()).await, bytes);
+}
