--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -62,9 +62,12 @@
         if self.resets_on_close || !self.response.is_until_close.load(Ordering::Relaxed) {
             return Ok(());
         }
-        self.stream.set_zero_linger()?;
-        self.resets_on_close = true;
-        Ok(())
+        let set = self.stream.set_zero_linger();
+        if let Err(error) = &set {
+            tracing::warn!(%error, "cannot reset a caller's connection");
+        }
+        self.resets_on_close = set.is_ok();
+        set
     }
 
     /// Lets the connection end in order, as the last response was written up to its end.
--- a/crates/gateway/src/continuation.rs
+++ b/crates/gateway/src/continuation.rs
@@ -53,6 +53,13 @@
             Mismatch::Events(fault) => Some(fault),
             _ => None,
         };
+        if mismatch == Mismatch::ContentType {
+            tracing::warn!(
+                request = %request.id,
+                endpoint = %opened.attempt.chosen.id,
+                "cannot resume the stream: the response has another content type"
+            );
+        }
         tracing::warn!(
             request = %request.id,
             endpoint = %opened.attempt.chosen.id,
