--- a/review/standins-2/src/bin/case-10.rs
+++ b/review/standins-2/src/bin/case-10.rs
@@ -67,7 +67,8 @@
 fn send_events(stream: &TcpStream, request: &Message) -> bool {
     let mut is_open = write(stream, &stream_head(request));
     for number in 1..=EVENTS {
-        is_open = is_open && write(stream, &chunk(&format!("id: {number}\ndata: part {number}\n\n")));
+        is_open =
+            is_open && write(stream, &chunk(&format!("id: {number}\ndata: part {number}\n\n")));
         sleep(EVENT_INTERVAL);
     }
     is_open && write(stream, "0\r\n\r\n")
@@ -83,7 +84,10 @@
             return Ok(());
         }
         if request.target() == "/healthz" {
-            write(stream, &format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {SERVER}\r\nContent-Length: 0\r\n\r\n"));
+            write(
+                stream,
+                &format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {SERVER}\r\nContent-Length: 0\r\n\r\n"),
+            );
             continue;
         }
         if !answers_early {
@@ -150,8 +154,7 @@
             });
         }
     });
-    let entry =
-        Entry { service: "tekstur", address, version: "v1", slots: 128, born: 1, seq: 1 };
+    let entry = Entry { service: "tekstur", address, version: "v1", slots: 128, born: 1, seq: 1 };
     store.put("keyed.servers", SERVER, Some(&entry.json()));
     let instances: Vec<Instance> = (1..=INSTANCES)
         .map(|it| Instance::start(&record, &format!("front-{it}"), store.address, ""))
@@ -159,7 +162,8 @@
     let instance = &instances[0];
     sleep(Duration::from_millis(2_000));
     let process = instance.process_id().to_string();
-    let is_sent = Command::new("kill").args(["-HUP", &process]).status().is_ok_and(|it| it.success());
+    let is_sent =
+        Command::new("kill").args(["-HUP", &process]).status().is_ok_and(|it| it.success());
     if !is_sent {
         drop(instances);
         could_not_run(&record, "SIGHUP can't be sent");
--- a/review/standins-2/src/bin/case-6.rs
+++ b/review/standins-2/src/bin/case-6.rs
@@ -54,8 +54,14 @@
     });
     let any = ([127, 0, 0, 1], 0).into();
     let server = Server::start(any, "i-a", handler);
-    let entry =
-        Entry { service: "puldiabi", address: server.address, version: "v1", slots: 6, born: 1, seq: 1 };
+    let entry = Entry {
+        service: "puldiabi",
+        address: server.address,
+        version: "v1",
+        slots: 6,
+        born: 1,
+        seq: 1,
+    };
     store.put("keyed.servers", "i-a", Some(&entry.json()));
     let instance = Instance::start(&record, "front-1", store.address, "");
     sleep(Duration::from_millis(1_500));
@@ -112,12 +118,17 @@
         }
         if let Some((_, tenant, passed_on)) = run {
             violations.push(match key {
-                Some(UNKNOWN_KEY) => format!("ROUTE {id}: ran with a key that no manifest ever held"),
-                Some(_) => format!("CONFIG {id}: ran with a dropped key, over configMs after the ack"),
+                Some(UNKNOWN_KEY) => {
+                    format!("ROUTE {id}: ran with a key that no manifest ever held")
+                }
+                Some(_) => {
+                    format!("CONFIG {id}: ran with a dropped key, over configMs after the ack")
+                }
                 None => format!("CONFIG {id}: ran without a key on a route that is not public"),
             });
             if passed_on.is_some() {
-                violations.push(format!("UNASKED {id}: the key itself was passed on, tenant {tenant:?}"));
+                violations
+                    .push(format!("UNASKED {id}: the key itself was passed on, tenant {tenant:?}"));
             }
         }
     }
--- a/review/standins-2/src/bin/case-7.rs
+++ b/review/standins-2/src/bin/case-7.rs
@@ -44,7 +44,9 @@
             fleet.end(at);
             sleep(AWAY);
             fleet.start_again(at, "v2");
-            record.line(&format!("server i-{at} has started again with v2, and its entry is written"));
+            record.line(&format!(
+                "server i-{at} has started again with v2, and its entry is written"
+            ));
         } else {
             sleep(AWAY);
         }
--- a/review/standins-2/src/bin/case-8.rs
+++ b/review/standins-2/src/bin/case-8.rs
@@ -62,7 +62,8 @@
     let answers = send_streams(&record, instance.listen, "burst", STREAMS);
     let mut violations = mixed(&answers);
     sleep(Duration::from_millis(2_000));
-    for it in instance.lines_with("another process may have taken")
+    for it in instance
+        .lines_with("another process may have taken")
         .into_iter()
         .chain(instance.lines_with("process is that of its entry"))
         .chain(instance.lines_with("response continues the stream"))
--- a/review/standins-2/src/bin/case-9.rs
+++ b/review/standins-2/src/bin/case-9.rs
@@ -91,8 +91,8 @@
 /// Number of the last event of an answer.
 fn last_event(answer: &Message) -> usize {
     let text = answer.text();
-    let ids = text.lines().filter_map(|it| it.strip_prefix("id: ")?.parse().ok());
-    ids.last().unwrap_or(0)
+    let mut ids = text.lines().filter_map(|it| it.strip_prefix("id: ")?.parse().ok());
+    ids.next_back().unwrap_or(0)
 }
 
 fn main() {
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -54,7 +54,12 @@
 }
 
 /// Sends a stream from the event after `Last-Event-Id` on.
-fn respond(version: &str, falls_silent: &AtomicBool, request: &Message, stream: &TcpStream) -> bool {
+fn respond(
+    version: &str,
+    falls_silent: &AtomicBool,
+    request: &Message,
+    stream: &TcpStream,
+) -> bool {
     let last: usize = request.header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
     if !write(stream, &stream_head(request)) {
         return false;
@@ -227,5 +232,7 @@
 /// Streams that hold events of two software versions, as violations of ORDER.
 pub fn mixed(answers: &[(String, Message)]) -> Vec<String> {
     let mixed = answers.iter().filter(|(_, answer)| versions(answer).len() > 1);
-    mixed.map(|(id, it)| format!("ORDER {id}: events of {:?} in one answer", versions(it))).collect()
+    mixed
+        .map(|(id, it)| format!("ORDER {id}: events of {:?} in one answer", versions(it)))
+        .collect()
 }
--- a/review/standins-2/src/instance.rs
+++ b/review/standins-2/src/instance.rs
@@ -89,19 +89,6 @@
     pub fn process_id(&self) -> u32 {
         self.child.id()
     }
-
-    /// Whether the process runs.
-    pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
-
-    /// Memory that the process has resident, in KiB.
-    pub fn resident_kib(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
-        line.and_then(|it| it.trim().strip_suffix(" kB")?.trim().parse().ok()).unwrap_or(0)
-    }
 }
 
 fn address(line: &str, field: &str) -> SocketAddr {
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -87,13 +87,19 @@
         }
         let expected = request.header("x-expect-instance");
         let is_open = if expected.is_some_and(|it| it != id) {
-            write(stream, &format!(
-                "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
-            ))
+            write(
+                stream,
+                &format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                ),
+            )
         } else if request.target() == "/healthz" {
-            write(stream, &format!(
-                "HTTP/1.1 200 OK\r\nX-Instance-Id: {id}\r\nX-Server-Load: 0,0,8\r\nContent-Length: 0\r\n\r\n"
-            ))
+            write(
+                stream,
+                &format!(
+                    "HTTP/1.1 200 OK\r\nX-Instance-Id: {id}\r\nX-Server-Load: 0,0,8\r\nContent-Length: 0\r\n\r\n"
+                ),
+            )
         } else {
             handler(&request, stream)
         };
