--- a/review/standins-2/src/bin/case-8.rs
+++ b/review/standins-2/src/bin/case-8.rs
@@ -5,7 +5,7 @@
 
 use review_standins_2::{
     could_not_run, finish,
-    fleet::{Fleet, HEARTBEAT, mixed, send_streams},
+    fleet::{Fleet, mixed, send_streams},
     has_trouble,
     instance::Instance,
     record::Record,
@@ -46,11 +46,7 @@
         record.line(&format!("server i-{CUT} has started again with v2, still cut off"));
         let (late, late_record) = (fleet.clone(), Arc::clone(&record));
         std::thread::spawn(move || {
-            // Three heartbeats were missed since the last one.
-            sleep(3 * HEARTBEAT - AWAY);
-            late.expire_entry(CUT);
-            late_record.line(&format!("the entry of server i-{CUT} is removed"));
-            sleep(CUT_TIME - 3 * HEARTBEAT);
+            sleep(CUT_TIME - AWAY);
             late.cut_from_store(CUT, false);
             late_record.line(&format!("the cut is healed; server i-{CUT} writes its entry"));
         });
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -8,7 +8,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread::{self, sleep},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -40,6 +40,8 @@
     falls_silent: Arc<AtomicBool>,
     /// It reaches the store, and sends heartbeats.
     beats: bool,
+    /// When the store took its entry last; `None` once the entry was removed.
+    beat_at: Option<Instant>,
 }
 
 /// The servers of the service.
@@ -86,7 +88,7 @@
         self.process = Some(process);
     }
 
-    fn write_entry(&self, store: &Store, seq: u64) {
+    fn write_entry(&mut self, store: &Store, seq: u64) {
         let entry = Entry {
             service: "tekstur",
             address: self.address,
@@ -96,6 +98,15 @@
             seq,
         };
         store.put("keyed.servers", &self.id, Some(&entry.json()));
+        self.beat_at = Some(Instant::now());
+    }
+
+    /// Removes the entry after three missed heartbeats, as the platform does.
+    fn expire_entry(&mut self, store: &Store) {
+        if self.beat_at.is_some_and(|it| it.elapsed() >= 3 * HEARTBEAT) {
+            store.put("keyed.servers", &self.id, None);
+            self.beat_at = None;
+        }
     }
 }
 
@@ -122,6 +133,7 @@
                 process: None,
                 falls_silent: Arc::default(),
                 beats: true,
+                beat_at: None,
             };
             node.start();
             node.write_entry(store, 1);
@@ -134,10 +146,11 @@
             for seq in 2.. {
                 for at in 0..servers {
                     sleep(HEARTBEAT / servers as u32);
-                    let nodes = beating.nodes.lock().expect("not poisoned");
+                    let mut nodes = beating.nodes.lock().expect("not poisoned");
                     if nodes[at].beats && nodes[at].process.is_some() {
                         nodes[at].write_entry(&beating.store, seq);
                     }
+                    nodes.iter_mut().for_each(|it| it.expire_entry(&beating.store));
                 }
             }
         });
@@ -176,12 +189,6 @@
             nodes[at].write_entry(&self.store, 1);
         }
     }
-
-    /// Removes the entry of a server, as the platform does after three missed heartbeats.
-    pub fn expire_entry(&self, at: usize) {
-        let nodes = self.nodes.lock().expect("not poisoned");
-        self.store.put("keyed.servers", &nodes[at].id, None);
-    }
 }
 
 /// Number of events of an answer by the software that wrote them.
