Review stand-ins end all instances, also when a case cannot run

A start that failed midway, or a stand-in that panicked, left the instances running that had started before. Seen with a third instance that ends at once: exit 2 after 10 s, no process and no directory left.

--- a/review/standins-2/src/instance.rs
+++ b/review/standins-2/src/instance.rs
@@ -4,9 +4,9 @@
     fs,
     io::{BufRead, BufReader},
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -16,12 +16,31 @@
 /// The program of the deploy file, from the repository's root.
 const PROGRAM: &str = "target/release/tanagergauge-instance";
 
+/// All processes and directories of this run.
+static STARTED: Mutex<Vec<(Arc<Mutex<Child>>, PathBuf)>> = Mutex::new(Vec::new());
+
+/// Ends all instances that this program started. Those that ended before are passed over.
+pub fn end_all() {
+    let mut started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
+    for (child, directory) in started.drain(..) {
+        end(&child, &directory);
+    }
+}
+
+fn end(child: &Mutex<Child>, directory: &Path) {
+    let mut child = child.lock().unwrap_or_else(PoisonError::into_inner);
+    let _ = child.kill();
+    let _ = child.wait();
+    let _ = fs::remove_dir_all(directory);
+}
+
 /// A running instance, killed on drop.
 pub struct Instance {
     /// Where callers connect.
     pub listen: SocketAddr,
     ready: SocketAddr,
-    child: Child,
+    child: Arc<Mutex<Child>>,
+    process_id: u32,
     directory: PathBuf,
     log: Arc<Mutex<Vec<String>>>,
 }
@@ -56,7 +75,11 @@
         });
         let begin = Instant::now();
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut instance = Instance { listen: any, ready: any, child, directory, log };
+        let process_id = child.id();
+        let child = Arc::new(Mutex::new(child));
+        let started = (Arc::clone(&child), directory.clone());
+        STARTED.lock().unwrap_or_else(PoisonError::into_inner).push(started);
+        let mut instance = Instance { listen: any, ready: any, child, process_id, directory, log };
         while begin.elapsed() < Duration::from_secs(10) {
             let found = instance.lines_with("\"start\"").into_iter().next();
             if let Some(line) = found {
@@ -69,7 +92,6 @@
             }
             thread::sleep(Duration::from_millis(20));
         }
-        drop(instance);
         crate::could_not_run(record, "the instance did not become ready within 10 s");
     }
 
@@ -87,7 +109,7 @@
 
     /// Id of the process.
     pub fn process_id(&self) -> u32 {
-        self.child.id()
+        self.process_id
     }
 }
 
@@ -99,8 +121,6 @@
 
 impl Drop for Instance {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = fs::remove_dir_all(&self.directory);
+        end(&self.child, &self.directory);
     }
 }
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -25,11 +25,13 @@
     }
     let verdict = if violations.is_empty() { "held" } else { "BROKEN" };
     record.line(&format!("verdict: rule {verdict}, {} violations", violations.len()));
+    instance::end_all();
     exit(i32::from(!violations.is_empty()));
 }
 
 /// Ends the program because the case could not run.
 pub fn could_not_run(record: &record::Record, reason: &str) -> ! {
+    instance::end_all();
     record.line(&format!("the case could not run: {reason}"));
     exit(2);
 }
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -11,6 +11,13 @@
 impl Record {
     /// Creates the file that the first argument of the program names.
     pub fn create() -> Record {
+        // A stand-in that fails is no verdict, and leaves no process behind.
+        let report = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |panic| {
+            report(panic);
+            crate::instance::end_all();
+            std::process::exit(2);
+        }));
         let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".to_owned());
         let file = File::create(Path::new(&path)).unwrap_or_else(|error| {
             eprintln!("cannot write {path}: {error}");
