Require a key wherever accounts are listed, also if none of them holds one

Callers saw: once an operator had taken away the last key, every request was served, with dropped keys, with keys that no version held, and with none. Cause: a configuration kept accounts by key only, and took an empty table for "requests need no key". The platform's decoder gave the same empty table for a list without keys, an empty list and no list at all. Change: `Access` says either `Open`, for a configuration without the list, or `Accounts`, whose table may be empty; no collection can be taken for `Open`.

--- a/crates/core/src/configuration_check/route_changes.rs
+++ b/crates/core/src/configuration_check/route_changes.rs
@@ -17,7 +17,9 @@
     for (before, after) in pairs(&old.routes, &new.routes, |it| &it.name) {
         compare_routes(before, after, &mut changes);
     }
-    let accounts = pairs(&old.accounts, &new.accounts, |it| &it.account.name);
+    let accounts = |it: &RoutingTable| it.accounts.clone().unwrap_or_default();
+    let (before, after) = (accounts(old), accounts(new));
+    let accounts = pairs(&before, &after, |it| &it.account.name);
     for (before, after) in accounts {
         compare_accounts(before, after, &mut changes);
     }
--- a/crates/core/src/configuration_check/routes.rs
+++ b/crates/core/src/configuration_check/routes.rs
@@ -24,8 +24,9 @@
     pub routes: Vec<Route>,
     /// Services.
     pub services: Vec<Service>,
-    /// Client accounts.
-    pub accounts: Vec<AccountEntry>,
+    /// Client accounts; `None` if the document has no list of them, so that requests need no key. An empty
+    /// list lets nobody in.
+    pub accounts: Option<Vec<AccountEntry>>,
     /// Limits on callers.
     pub limits: CallerLimits,
 }
@@ -55,7 +56,7 @@
         check_attempts(&at, route, &mut findings);
     }
     check_services(table, &mut findings);
-    check_accounts(&table.accounts, &mut findings);
+    check_accounts(table.accounts.as_deref().unwrap_or_default(), &mut findings);
     findings
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! passed in as milliseconds and randomness as a number, so that the code that runs in production
 //! is the code that is model-checked and benchmarked.
 
+pub mod access;
 pub mod account_shares;
 pub mod action;
 pub mod admission;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -6,7 +6,10 @@
     sync::Arc,
 };
 
-use crate::Name;
+use crate::{
+    Name,
+    access::{Access, Identity},
+};
 
 /// Whether a request that may have run can safely be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -142,8 +145,8 @@
     services: HashMap<Name, Service>,
     /// Services of routes whose streams may be resumed.
     resumable_services: HashSet<Name>,
-    /// Client accounts by credential; empty if requests need none.
-    accounts_by_key: HashMap<Name, ClientAccount>,
+    /// Who may send requests.
+    access: Access,
     /// Distinct priorities of accounts, ascending.
     account_priorities: Vec<u8>,
     /// Distinct priorities of routes, ascending.
@@ -157,27 +160,16 @@
     resumable.flat_map(|it| &it.targets).map(|it| it.service.clone()).collect()
 }
 
-/// Result of authenticating a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Identity {
-    /// The route or the configuration requires no credential.
-    Anonymous,
-    /// The credential belongs to this client account.
-    Account(ClientAccount),
-    /// A credential is required, and it is missing or unknown.
-    Unauthenticated,
-}
-
 impl Configuration {
     /// Indexes a configuration for look-ups.
     pub fn new(
         version: u64,
         routes: Vec<Route>,
         services: Vec<Service>,
-        accounts_by_key: HashMap<Name, ClientAccount>,
+        access: Access,
         limits: CallerLimits,
     ) -> Configuration {
-        let account_priorities = ascending(accounts_by_key.values().map(account_priority));
+        let account_priorities = ascending(access.accounts().map(account_priority));
         let route_priorities = ascending(routes.iter().map(|it| it.priority));
         let resumable_services = resumable_services(&routes);
         let mut by_host: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
@@ -193,7 +185,7 @@
             routes: by_host,
             services,
             resumable_services,
-            accounts_by_key,
+            access,
             account_priorities,
             route_priorities,
             limits,
@@ -237,14 +229,7 @@
 
     /// Finds the client account of a request by its credential.
     pub fn authenticate(&self, route: &Route, credential: Option<&str>) -> Identity {
-        if self.accounts_by_key.is_empty() {
-            return Identity::Anonymous;
-        }
-        match credential.and_then(|it| self.accounts_by_key.get(it)) {
-            Some(account) => Identity::Account(account.clone()),
-            None if route.public => Identity::Anonymous,
-            None => Identity::Unauthenticated,
-        }
+        self.access.identify(credential, route.public)
     }
 }
 
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -4,9 +4,10 @@
 
 use tanagergauge_core::{
     Name,
+    access::{Access, Identity},
     routing::{
-        CallerLimits, ClientAccount, Configuration, EngineLimits, Identity, RetrySafety, Route,
-        Service, Target,
+        CallerLimits, ClientAccount, Configuration, EngineLimits, RetrySafety, Route, Service,
+        Target,
     },
 };
 
@@ -32,13 +33,17 @@
 }
 
 fn configuration() -> Configuration {
-    let routes =
-        vec![route("short", "/a/", 0), route("long", "/a/b/", 1), route("public", "/p/", 2)];
     let accounts = HashMap::from([
         (Name::from("key-1"), account("pit", Some(0))),
         (Name::from("key-2"), account("house", Some(1))),
         (Name::from("key-3"), account("guest", None)),
     ]);
+    configuration_with(Access::Accounts(accounts))
+}
+
+fn configuration_with(access: Access) -> Configuration {
+    let routes =
+        vec![route("short", "/a/", 0), route("long", "/a/b/", 1), route("public", "/p/", 2)];
     let service = Service {
         name: "cues".into(),
         connection_limit: 10,
@@ -47,7 +52,7 @@
         scale: None,
     };
     let limits = CallerLimits { body_bytes: 100, idle_timeout_ms: 1_000 };
-    Configuration::new(7, routes, vec![service], accounts, limits)
+    Configuration::new(7, routes, vec![service], access, limits)
 }
 
 macro_rules! finds {
@@ -89,6 +94,29 @@
     a_public_route_accepts_a_key: "/p/" Some("key-2") => Identity::Account(account("house", Some(1)));
 }
 
+/// Guards against access for everyone once the last key is taken away.
+#[test]
+fn accounts_without_a_key_let_nobody_in() {
+    let configuration = configuration_with(Access::Accounts(HashMap::new()));
+    let identify = |path: &str, key| {
+        configuration
+            .authenticate(configuration.route("booth.example", path).expect("a route"), key)
+    };
+    for key in [None, Some(""), Some("key-1")] {
+        assert_eq!(identify("/a/", key), Identity::Unauthenticated, "{key:?}");
+    }
+    assert_eq!(identify("/p/", None), Identity::Anonymous);
+}
+
+#[test]
+fn open_access_needs_no_key() {
+    let configuration = configuration_with(Access::Open);
+    let route = configuration.route("booth.example", "/a/").expect("a route");
+    for key in [None, Some("key-1")] {
+        assert_eq!(configuration.authenticate(route, key), Identity::Anonymous, "{key:?}");
+    }
+}
+
 /// Most accounts have equal priority. When the account's priority replaced that of the route,
 /// urgent routes of these accounts were preempted by less urgent ones.
 #[test]
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -14,9 +14,10 @@
 };
 use tanagergauge_core::{
     Name, Reason,
+    access::Identity,
     admission_controller::{AdmissionRequest, Verdict},
     prompt_part::{self, PromptPart},
-    routing::{Configuration, EngineLimits, Identity, Route},
+    routing::{Configuration, EngineLimits, Route},
 };
 use tokio::time::{Instant, timeout, timeout_at};
 
