Refuse unknown keys on public routes too, and pass no credential on

Cause: the route was asked whether it needs a key before the key was looked at, and `Authorization` was removed only where an account had been found. Change: a public route needs no key, but one that is brought must be held. Where accounts are listed, `Authorization` is the instance's and never forwarded, whatever its scheme; without accounts it is forwarded as before.

--- a/crates/core/src/access.rs
+++ b/crates/core/src/access.rs
@@ -25,11 +25,15 @@
         by_key.into_iter().flat_map(HashMap::values)
     }
 
-    /// Finds the client account of a request by its credential.
+    /// Finds the client account of a request by its credential. A key that no account holds is refused on a
+    /// public route too.
     pub fn identify(&self, credential: Option<&str>, is_public_route: bool) -> Identity {
         let Access::Accounts(by_key) = self else { return Identity::Anonymous };
-        match credential.and_then(|it| by_key.get(it)) {
-            Some(account) => Identity::Account(account.clone()),
+        match credential {
+            Some(key) => match by_key.get(key) {
+                Some(account) => Identity::Account(account.clone()),
+                None => Identity::Unauthenticated,
+            },
             None if is_public_route => Identity::Anonymous,
             None => Identity::Unauthenticated,
         }
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -227,6 +227,11 @@
         u8::try_from(account_index * routes + route_index).unwrap_or(u8::MAX).min(MAX_RANK)
     }
 
+    /// Whether credentials are meant for the instance, which then passes none on.
+    pub fn reads_credentials(&self) -> bool {
+        !matches!(self.access, Access::Open)
+    }
+
     /// Finds the client account of a request by its credential.
     pub fn authenticate(&self, route: &Route, credential: Option<&str>) -> Identity {
         self.access.identify(credential, route.public)
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -91,6 +91,7 @@
     an_unknown_key_is_refused: "/a/" Some("key-9") => Identity::Unauthenticated;
     a_missing_key_is_refused: "/a/" None => Identity::Unauthenticated;
     a_public_route_needs_no_key: "/p/" None => Identity::Anonymous;
+    an_unknown_key_is_refused_on_a_public_route: "/p/" Some("key-9") => Identity::Unauthenticated;
     a_public_route_accepts_a_key: "/p/" Some("key-2") => Identity::Account(account("house", Some(1)));
 }
 
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -105,7 +105,7 @@
     let latency_sensitive = is_latency_sensitive(gateway, &route, &service, engine, &parts);
     gateway.budgets().record_request(&service, clock::now_ms());
     let http_request::Parts { method, uri, version: http_version, mut headers, .. } = head;
-    request::strip_headers(&mut headers, names, account.is_some());
+    request::strip_headers(&mut headers, names, configuration.reads_credentials());
     let version = configuration.version;
     Ok(Request {
         id,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -120,8 +120,8 @@
 }
 
 /// Removes headers that are not forwarded: hop-by-hop headers, including those that `Connection`
-/// names, and headers that the instance sets.
-pub(crate) fn strip_headers(headers: &mut HeaderMap, names: &HeaderNames, has_account: bool) {
+/// names, headers that the instance sets, and credentials that it reads.
+pub(crate) fn strip_headers(headers: &mut HeaderMap, names: &HeaderNames, reads_credentials: bool) {
     let connection_headers: SmallVec<[HeaderName; 4]> = headers
         .get_all(CONNECTION)
         .iter()
@@ -140,7 +140,7 @@
         headers.remove(name);
     }
     headers.remove(CONTENT_LENGTH);
-    if has_account {
+    if reads_credentials {
         headers.remove(AUTHORIZATION);
     }
 }
