Refuse a request that brings several credentials

Callers saw: of two `Authorization` headers the first one counted, so that a request ran for one account although it named a second key, and another component in the chain could have read the other one. Cause: the first value of the header was read. Change: `Credential` is missing, a key, or ambiguous, which is refused with 401 on all routes where accounts are listed.

--- a/crates/core/src/access.rs
+++ b/crates/core/src/access.rs
@@ -4,6 +4,17 @@
 
 use crate::{Name, routing::ClientAccount};
 
+/// What a request brings to authenticate itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Credential<'a> {
+    /// No key.
+    Missing,
+    /// A key.
+    Key(&'a str),
+    /// Several credentials. Other components may read another one of them.
+    Ambiguous,
+}
+
 /// Who may send requests on routes that are not public.
 ///
 /// [`Access::Open`] stands for what a configuration says, and never for a list that has become empty.
@@ -27,15 +38,15 @@
 
     /// Finds the client account of a request by its credential. A key that no account holds is refused on a
     /// public route too.
-    pub fn identify(&self, credential: Option<&str>, is_public_route: bool) -> Identity {
+    pub fn identify(&self, credential: Credential<'_>, is_public_route: bool) -> Identity {
         let Access::Accounts(by_key) = self else { return Identity::Anonymous };
         match credential {
-            Some(key) => match by_key.get(key) {
+            Credential::Key(key) => match by_key.get(key) {
                 Some(account) => Identity::Account(account.clone()),
                 None => Identity::Unauthenticated,
             },
-            None if is_public_route => Identity::Anonymous,
-            None => Identity::Unauthenticated,
+            Credential::Missing if is_public_route => Identity::Anonymous,
+            Credential::Missing | Credential::Ambiguous => Identity::Unauthenticated,
         }
     }
 }
@@ -47,6 +58,6 @@
     Anonymous,
     /// The credential belongs to this client account.
     Account(ClientAccount),
-    /// A credential is required, and it is missing or unknown.
+    /// The credential is required and missing, unknown or ambiguous.
     Unauthenticated,
 }
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Name,
-    access::{Access, Identity},
+    access::{Access, Credential, Identity},
 };
 
 /// Whether a request that may have run can safely be sent again.
@@ -233,7 +233,7 @@
     }
 
     /// Finds the client account of a request by its credential.
-    pub fn authenticate(&self, route: &Route, credential: Option<&str>) -> Identity {
+    pub fn authenticate(&self, route: &Route, credential: Credential<'_>) -> Identity {
         self.access.identify(credential, route.public)
     }
 }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -4,7 +4,7 @@
 
 use tanagergauge_core::{
     Name,
-    access::{Access, Identity},
+    access::{Access, Credential, Identity},
     routing::{
         CallerLimits, ClientAccount, Configuration, EngineLimits, RetrySafety, Route, Service,
         Target,
@@ -87,12 +87,14 @@
 }
 
 identifies! {
-    a_known_key_names_its_account: "/a/" Some("key-1") => Identity::Account(account("pit", Some(0)));
-    an_unknown_key_is_refused: "/a/" Some("key-9") => Identity::Unauthenticated;
-    a_missing_key_is_refused: "/a/" None => Identity::Unauthenticated;
-    a_public_route_needs_no_key: "/p/" None => Identity::Anonymous;
-    an_unknown_key_is_refused_on_a_public_route: "/p/" Some("key-9") => Identity::Unauthenticated;
-    a_public_route_accepts_a_key: "/p/" Some("key-2") => Identity::Account(account("house", Some(1)));
+    a_known_key_names_its_account: "/a/" Credential::Key("key-1") => Identity::Account(account("pit", Some(0)));
+    an_unknown_key_is_refused: "/a/" Credential::Key("key-9") => Identity::Unauthenticated;
+    a_missing_key_is_refused: "/a/" Credential::Missing => Identity::Unauthenticated;
+    a_public_route_needs_no_key: "/p/" Credential::Missing => Identity::Anonymous;
+    an_unknown_key_is_refused_on_a_public_route: "/p/" Credential::Key("key-9") => Identity::Unauthenticated;
+    several_credentials_are_refused: "/a/" Credential::Ambiguous => Identity::Unauthenticated;
+    several_credentials_are_refused_on_a_public_route: "/p/" Credential::Ambiguous => Identity::Unauthenticated;
+    a_public_route_accepts_a_key: "/p/" Credential::Key("key-2") => Identity::Account(account("house", Some(1)));
 }
 
 /// Guards against access for everyone once the last key is taken away.
@@ -103,17 +105,17 @@
         configuration
             .authenticate(configuration.route("booth.example", path).expect("a route"), key)
     };
-    for key in [None, Some(""), Some("key-1")] {
+    for key in [Credential::Missing, Credential::Key(""), Credential::Key("key-1")] {
         assert_eq!(identify("/a/", key), Identity::Unauthenticated, "{key:?}");
     }
-    assert_eq!(identify("/p/", None), Identity::Anonymous);
+    assert_eq!(identify("/p/", Credential::Missing), Identity::Anonymous);
 }
 
 #[test]
 fn open_access_needs_no_key() {
     let configuration = configuration_with(Access::Open);
     let route = configuration.route("booth.example", "/a/").expect("a route");
-    for key in [None, Some("key-1")] {
+    for key in [Credential::Missing, Credential::Key("key-1")] {
         assert_eq!(configuration.authenticate(route, key), Identity::Anonymous, "{key:?}");
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,6 +14,7 @@
 use smallvec::SmallVec;
 use tanagergauge_core::{
     Name,
+    access::Credential,
     prompt_part::{PromptPart, PromptParts},
     quarantine::Fingerprint,
     request_fingerprints::RequestFingerprints,
@@ -85,9 +86,18 @@
     }
 }
 
-/// Bearer token of a request.
-pub(crate) fn credential(head: &request::Parts) -> Option<&str> {
-    let value = head.headers.get(AUTHORIZATION)?.to_str().ok()?;
+/// Credential of a request, in `Authorization`.
+pub(crate) fn credential(head: &request::Parts) -> Credential<'_> {
+    let mut values = head.headers.get_all(AUTHORIZATION).iter();
+    let Some(value) = values.next() else { return Credential::Missing };
+    if values.next().is_some() {
+        return Credential::Ambiguous;
+    }
+    value.to_str().ok().and_then(bearer_token).map_or(Credential::Missing, Credential::Key)
+}
+
+/// The token of the scheme `Bearer`.
+fn bearer_token(value: &str) -> Option<&str> {
     let (scheme, token) = value.split_once(' ')?;
     scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
 }
