Say why requests are refused with 401, and when nobody has a key

Cause: a version that takes the last key away refused all callers with the same reason as one mistyped key, and the check of a configuration said only that each account had none; that a version opens or closes a deployment was not told. Change: refusals name the version and whether the credential is missing, unknown, ambiguous, or no account has a key; a warning names the version that leaves no key; gauge `tanagergauge_client_keys`, counter `tanagergauge_unauthenticated_total`. `configuration check` warns of accounts without any key and of empty keys, and tells the change in a sentence.

--- a/crates/core/src/access.rs
+++ b/crates/core/src/access.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use strum::IntoStaticStr;
+
 use crate::{Name, routing::ClientAccount};
 
 /// What a request brings to authenticate itself.
@@ -36,18 +38,28 @@
         by_key.into_iter().flat_map(HashMap::values)
     }
 
+    /// Number of keys by which requests are let in; `None` if they need none.
+    pub fn key_count(&self) -> Option<usize> {
+        match self {
+            Access::Open => None,
+            Access::Accounts(by_key) => Some(by_key.len()),
+        }
+    }
+
     /// Finds the client account of a request by its credential. A key that no account holds is refused on a
     /// public route too.
     pub fn identify(&self, credential: Credential<'_>, is_public_route: bool) -> Identity {
         let Access::Accounts(by_key) = self else { return Identity::Anonymous };
-        match credential {
+        let fault = match credential {
             Credential::Key(key) => match by_key.get(key) {
-                Some(account) => Identity::Account(account.clone()),
-                None => Identity::Unauthenticated,
+                Some(account) => return Identity::Account(account.clone()),
+                None => CredentialFault::Unknown,
             },
-            Credential::Missing if is_public_route => Identity::Anonymous,
-            Credential::Missing | Credential::Ambiguous => Identity::Unauthenticated,
-        }
+            Credential::Missing if is_public_route => return Identity::Anonymous,
+            Credential::Missing => CredentialFault::Missing,
+            Credential::Ambiguous => CredentialFault::Ambiguous,
+        };
+        Identity::Unauthenticated(if by_key.is_empty() { CredentialFault::NoKeys } else { fault })
     }
 }
 
@@ -58,6 +70,20 @@
     Anonymous,
     /// The credential belongs to this client account.
     Account(ClientAccount),
-    /// The credential is required and missing, unknown or ambiguous.
-    Unauthenticated,
+    /// There is no account for the request.
+    Unauthenticated(CredentialFault),
+}
+
+/// Why a request has no client account although it needs one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum CredentialFault {
+    /// It brings no key.
+    Missing,
+    /// No account holds its key.
+    Unknown,
+    /// It brings several credentials.
+    Ambiguous,
+    /// No account holds any key, so that all requests are refused that need one.
+    NoKeys,
 }
--- a/crates/core/src/configuration_check/route_changes.rs
+++ b/crates/core/src/configuration_check/route_changes.rs
@@ -7,25 +7,59 @@
 use crate::routing::Route;
 
 /// What callers will notice when `new` comes into force in place of `old`.
-pub fn route_changes(old: &RoutingTable, new: &RoutingTable) -> Vec<CallerChange> {
+pub fn route_changes<'a>(old: &'a RoutingTable, new: &'a RoutingTable) -> Vec<CallerChange> {
     let mut changes = Vec::new();
     let mut all = Changes::of("all requests".to_owned(), &mut changes);
     let (before, after) = (old.limits.body_bytes, new.limits.body_bytes);
     all.compare("the largest body, in bytes,", &before, &after);
     let (before, after) = (old.limits.idle_timeout_ms, new.limits.idle_timeout_ms);
     all.compare("the time for which an idle connection is kept, in ms,", &before, &after);
+    let (before, after) = (Admitted::by(old), Admitted::by(new));
+    if before != after {
+        all.add(after.effect());
+    }
     for (before, after) in pairs(&old.routes, &new.routes, |it| &it.name) {
         compare_routes(before, after, &mut changes);
     }
-    let accounts = |it: &RoutingTable| it.accounts.clone().unwrap_or_default();
-    let (before, after) = (accounts(old), accounts(new));
-    let accounts = pairs(&before, &after, |it| &it.account.name);
-    for (before, after) in accounts {
+    let accounts = |it: &'a RoutingTable| it.accounts.as_deref().unwrap_or_default();
+    for (before, after) in pairs(accounts(old), accounts(new), |it| &it.account.name) {
         compare_accounts(before, after, &mut changes);
     }
     changes
 }
 
+/// Who may send requests by a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Admitted {
+    /// Everyone.
+    Everyone,
+    /// Holders of keys.
+    KeyHolders,
+    /// Nobody, as no account has a key.
+    Nobody,
+}
+
+impl Admitted {
+    fn by(table: &RoutingTable) -> Admitted {
+        match &table.accounts {
+            None => Admitted::Everyone,
+            Some(accounts) if accounts.iter().any(|it| !it.keys.is_empty()) => Admitted::KeyHolders,
+            Some(_) => Admitted::Nobody,
+        }
+    }
+
+    /// What callers notice if it is so from now on.
+    fn effect(self) -> &'static str {
+        match self {
+            Admitted::Everyone => "those without a credential are accepted",
+            Admitted::KeyHolders => {
+                "those with a key of a client account are accepted, others on public routes only"
+            }
+            Admitted::Nobody => "they are refused except on public routes, as no account has a key",
+        }
+    }
+}
+
 fn compare_accounts(
     old: Option<&AccountEntry>,
     new: Option<&AccountEntry>,
--- a/crates/core/src/configuration_check/routes.rs
+++ b/crates/core/src/configuration_check/routes.rs
@@ -56,7 +56,9 @@
         check_attempts(&at, route, &mut findings);
     }
     check_services(table, &mut findings);
-    check_accounts(table.accounts.as_deref().unwrap_or_default(), &mut findings);
+    if let Some(accounts) = &table.accounts {
+        check_accounts(accounts, &mut findings);
+    }
     findings
 }
 
@@ -136,6 +138,11 @@
 }
 
 fn check_accounts(accounts: &[AccountEntry], findings: &mut Findings) {
+    if accounts.iter().all(|it| it.keys.is_empty()) {
+        let found = "no account with a key";
+        let expected = "one, or all requests are refused except on public routes";
+        findings.warning(Path::root().field("accounts"), found, expected);
+    }
     let mut owners = HashMap::new();
     for (i, AccountEntry { account, keys }) in accounts.iter().enumerate() {
         let at = Path::root().field("accounts").index(i);
@@ -147,6 +154,10 @@
             );
         }
         for (j, key) in keys.iter().enumerate() {
+            if key.is_empty() {
+                let path = at.field("keys").index(j);
+                findings.warning(path, "an empty key", "another one, as no request can bring it");
+            }
             if let Some(owner) = owners.insert(key, &account.name) {
                 let found = format!("a key that account \"{owner}\" has too");
                 let expected = "a key of one account only; the last one gets the requests";
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -232,6 +232,11 @@
         !matches!(self.access, Access::Open)
     }
 
+    /// Number of keys by which requests are let in; `None` if they need none.
+    pub fn key_count(&self) -> Option<usize> {
+        self.access.key_count()
+    }
+
     /// Finds the client account of a request by its credential.
     pub fn authenticate(&self, route: &Route, credential: Credential<'_>) -> Identity {
         self.access.identify(credential, route.public)
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -4,7 +4,7 @@
 
 use tanagergauge_core::{
     Name,
-    access::{Access, Credential, Identity},
+    access::{Access, Credential, CredentialFault, Identity},
     routing::{
         CallerLimits, ClientAccount, Configuration, EngineLimits, RetrySafety, Route, Service,
         Target,
@@ -32,6 +32,10 @@
     ClientAccount { name: name.into(), priority }
 }
 
+fn unauthenticated(fault: CredentialFault) -> Identity {
+    Identity::Unauthenticated(fault)
+}
+
 fn configuration() -> Configuration {
     let accounts = HashMap::from([
         (Name::from("key-1"), account("pit", Some(0))),
@@ -88,12 +92,12 @@
 
 identifies! {
     a_known_key_names_its_account: "/a/" Credential::Key("key-1") => Identity::Account(account("pit", Some(0)));
-    an_unknown_key_is_refused: "/a/" Credential::Key("key-9") => Identity::Unauthenticated;
-    a_missing_key_is_refused: "/a/" Credential::Missing => Identity::Unauthenticated;
+    an_unknown_key_is_refused: "/a/" Credential::Key("key-9") => unauthenticated(CredentialFault::Unknown);
+    a_missing_key_is_refused: "/a/" Credential::Missing => unauthenticated(CredentialFault::Missing);
     a_public_route_needs_no_key: "/p/" Credential::Missing => Identity::Anonymous;
-    an_unknown_key_is_refused_on_a_public_route: "/p/" Credential::Key("key-9") => Identity::Unauthenticated;
-    several_credentials_are_refused: "/a/" Credential::Ambiguous => Identity::Unauthenticated;
-    several_credentials_are_refused_on_a_public_route: "/p/" Credential::Ambiguous => Identity::Unauthenticated;
+    an_unknown_key_is_refused_on_a_public_route: "/p/" Credential::Key("key-9") => unauthenticated(CredentialFault::Unknown);
+    several_credentials_are_refused: "/a/" Credential::Ambiguous => unauthenticated(CredentialFault::Ambiguous);
+    several_credentials_are_refused_on_a_public_route: "/p/" Credential::Ambiguous => unauthenticated(CredentialFault::Ambiguous);
     a_public_route_accepts_a_key: "/p/" Credential::Key("key-2") => Identity::Account(account("house", Some(1)));
 }
 
@@ -106,7 +110,7 @@
             .authenticate(configuration.route("booth.example", path).expect("a route"), key)
     };
     for key in [Credential::Missing, Credential::Key(""), Credential::Key("key-1")] {
-        assert_eq!(identify("/a/", key), Identity::Unauthenticated, "{key:?}");
+        assert_eq!(identify("/a/", key), unauthenticated(CredentialFault::NoKeys), "{key:?}");
     }
     assert_eq!(identify("/p/", Credential::Missing), Identity::Anonymous);
 }
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -14,18 +14,20 @@
 };
 use tanagergauge_core::{
     Name, Reason,
-    access::Identity,
+    access::CredentialFault,
     admission_controller::{AdmissionRequest, Verdict},
     prompt_part::{self, PromptPart},
-    routing::{Configuration, EngineLimits, Route},
+    routing::{EngineLimits, Route},
 };
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     attempt::idle_first_byte_ms,
+    authenticate::authenticate,
     body_memory::{self, CollectError},
     clock,
     gateway::Gateway,
+    header_names::HeaderNames,
     meters,
     progress::{AdmissionRecord, RequestProgress, SHORT_RETRY_MS},
     request::{self, Request, fraction, uniform_hash},
@@ -45,15 +47,25 @@
 pub(crate) struct Refused {
     id: Name,
     refusal: Refusal,
+    /// Version of the configuration by which it was refused; `None` if there was none yet.
+    version: Option<u64>,
+    /// Present if it has no client account.
+    credential_fault: Option<CredentialFault>,
 }
 
 impl Refused {
     pub(crate) fn response(&self) -> Response<ResponseBody> {
         meters::request_refused(self.refusal.reason);
+        let credential: Option<&str> = self.credential_fault.map(Into::into);
+        if let Some(fault) = self.credential_fault {
+            meters::unauthenticated(fault);
+        }
         tracing::info!(
             request = %self.id,
             outcome = %self.refusal.outcome,
             reason = %self.refusal.reason,
+            credential,
+            version = self.version,
             "request turned away"
         );
         self.refusal.response()
@@ -73,25 +85,26 @@
     let names = &gateway.header_names;
     let id = head.headers.get(&names.request_id).and_then(|it| it.to_str().ok()).unwrap_or("");
     let id = Name::from(id);
-    let refuse = |refusal: Refusal| Refused { id: id.clone(), refusal };
-    let Some(configuration) = gateway.configuration() else {
+    let configuration = gateway.configuration();
+    let version = configuration.as_ref().map(|it| it.version);
+    let refuse =
+        |refusal: Refusal| Refused { id: id.clone(), refusal, version, credential_fault: None };
+    let Some(configuration) = configuration else {
         let refusal = Refusal::not_run(Reason::NotReady).retry_after_ms(SHORT_RETRY_MS);
         return Err(refuse(refuse_after(body, refusal).await));
     };
-    let (route, identity) = match authenticate(&configuration, &head) {
+    let (route, account) = match authenticate(&configuration, &head) {
         Ok(found) => found,
-        Err(reason) => return Err(refuse(refuse_after(body, Refusal::not_run(reason)).await)),
+        Err(denied) => {
+            let refusal = refuse_after(body, Refusal::not_run(denied.reason())).await;
+            let credential_fault = denied.credential_fault();
+            return Err(Refused { credential_fault, ..refuse(refusal) });
+        }
     };
-    let allowed = Duration::from_millis(route.timeout_ms);
-    let time_left = request::time_left(&head, names).unwrap_or(allowed).min(allowed);
-    let deadline = arrived + time_left;
+    let deadline = arrived + time_allowed(&head, names, &route);
     let body = read_body(gateway, body, configuration.limits.body_bytes, deadline)
         .await
         .map_err(|it| refuse(Refusal::not_run(it)))?;
-    let account = match identity {
-        Identity::Account(account) => Some(account),
-        Identity::Anonymous | Identity::Unauthenticated => None,
-    };
     let parts = if route.has_prompt_parts {
         request::parse_parts(&head.headers, names)
     } else {
@@ -106,7 +119,6 @@
     gateway.budgets().record_request(&service, clock::now_ms());
     let http_request::Parts { method, uri, version: http_version, mut headers, .. } = head;
     request::strip_headers(&mut headers, names, configuration.reads_credentials());
-    let version = configuration.version;
     Ok(Request {
         id,
         method,
@@ -121,13 +133,19 @@
         take_up,
         rank,
         latency_sensitive,
-        version,
+        version: configuration.version,
         arrived,
         deadline,
         is_counted: AtomicBool::new(false),
     })
 }
 
+/// How long a request may take.
+fn time_allowed(head: &http_request::Parts, names: &HeaderNames, route: &Route) -> Duration {
+    let allowed = Duration::from_millis(route.timeout_ms);
+    request::time_left(head, names).unwrap_or(allowed).min(allowed)
+}
+
 /// Whether streams of a route are latency-sensitive at the engines of a service.
 fn is_latency_sensitive(
     gateway: &Gateway,
@@ -230,19 +248,6 @@
     route.target(uniform_hash(begun_as)).cloned()
 }
 
-/// The route of a request and the account that its credential belongs to.
-fn authenticate(
-    configuration: &Configuration,
-    head: &http_request::Parts,
-) -> Result<(Arc<Route>, Identity), Reason> {
-    let host = request::host(head).ok_or(Reason::Malformed)?;
-    let route = configuration.route(host, head.uri.path()).ok_or(Reason::UnknownPath)?;
-    match configuration.authenticate(route, request::credential(head)) {
-        Identity::Unauthenticated => Err(Reason::Unauthenticated),
-        identity => Ok((Arc::clone(route), identity)),
-    }
-}
-
 /// Refuses a request once its body has been read.
 async fn refuse_after(mut body: Incoming, refusal: Refusal) -> Refusal {
     discard_body(&mut body).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission_controllers;
 mod admit;
 mod attempt;
+mod authenticate;
 mod backoff;
 mod body_memory;
 pub mod boot_clock;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -8,7 +8,8 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use tanagergauge_core::{
-    Name, Outcome, Reason, duties::CallError, engine_speed::IgnoredSlowness, send_history::Failure,
+    Name, Outcome, Reason, access::CredentialFault, duties::CallError,
+    engine_speed::IgnoredSlowness, send_history::Failure,
 };
 
 use crate::{
@@ -46,6 +47,9 @@
     gauge!("tanagergauge_log_lines_dropped").set(logs::dropped_lines() as f64);
     gauge!("tanagergauge_configuration_version")
         .set(gateway.configuration().map_or(0.0, |it| it.version as f64));
+    // -1 also while no configuration is known.
+    let keys = gateway.configuration().and_then(|it| it.key_count());
+    gauge!("tanagergauge_client_keys").set(keys.map_or(-1.0, |it| it as f64));
     gauge!("tanagergauge_endpoints_age_seconds")
         .set(gateway.endpoints_age_ms().map_or(-1.0, |it| it as f64 / 1000.0));
     gauge!("tanagergauge_store_era").set(gateway.store_era() as f64);
@@ -121,6 +125,12 @@
     counter!("tanagergauge_refusals_total", "reason" => reason).increment(1);
 }
 
+/// Counts a request that was refused because it has no client account.
+pub(crate) fn unauthenticated(fault: CredentialFault) {
+    let credential: &'static str = fault.into();
+    counter!("tanagergauge_unauthenticated_total", "credential" => credential).increment(1);
+}
+
 /// Counts a failed attempt.
 pub(crate) fn attempt_failed(failure: Failure) {
     let reason: &'static str = failure.into();
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -285,11 +285,18 @@
             None => {}
             Some(Ok(configuration)) => {
                 let version = configuration.version;
+                let keys = configuration.key_count();
                 let newer = gateway.put_configuration(configuration);
                 if newer {
                     self.in_force = Some(InForce { version, record: record.clone() });
                 }
-                tracing::info!(version, newer, "configuration read");
+                tracing::info!(version, newer, keys, "configuration read");
+                if newer && keys == Some(0) {
+                    tracing::warn!(
+                        version,
+                        "no client account has a key; requests are refused except on public routes"
+                    );
+                }
             }
             Some(Err(error)) => {
                 tracing::error!(%error, "configuration cannot be read; keeping the current one");
