Take no whole limit of an endpoint before the list of instances was read

Cause: `FleetPosition` began as the only one of one instance, where the retry budget assumes twelve. Change: the place is unknown at first, which permits nothing, and is then one of twice twelve until the list was read. `endpoint_limit` and `membership` pass.

--- a/crates/core/src/endpoint_limits.rs
+++ b/crates/core/src/endpoint_limits.rs
@@ -29,7 +29,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointLimits {
     by_endpoint: HashMap<Name, Entry>,
-    position: FleetPosition,
+    /// `None` until it is known; nothing is sent to an endpoint with a limit before.
+    position: Option<FleetPosition>,
 }
 
 /// What is known of the limit of one endpoint.
@@ -79,12 +80,6 @@
     Wait,
 }
 
-impl Default for FleetPosition {
-    fn default() -> FleetPosition {
-        FleetPosition { rank: 0, instances: 1 }
-    }
-}
-
 impl EndpointLimits {
     /// Records the limit that a response of an endpoint named, in requests per second, or that it
     /// named none. `now_ms` is monotonic. Returns whether that is a change.
@@ -162,13 +157,14 @@
 
     /// Updates the place of this instance among all. Returns whether that is a change.
     pub fn set_position(&mut self, position: FleetPosition) -> bool {
-        std::mem::replace(&mut self.position, position) != position
+        self.position.replace(position) != Some(position)
     }
 
     /// Whether a request may be sent to an endpoint.
     pub fn permission(&self, endpoint: &str, unix_ms: u64) -> Permission {
         let Some(entry) = self.by_endpoint.get(endpoint) else { return Permission::Unlimited };
         let Some(requests_per_s) = entry.requests_per_s else { return Permission::Unlimited };
+        let Some(position) = self.position else { return Permission::Wait };
         let tokens_per_ms = requests_per_s.min(MAX_REQUESTS_PER_S) / 1_000.0;
         let number_at = |at_ms: u64| (at_ms as f64 * tokens_per_ms) as u64;
         let time_of = |number: u64| (number as f64 / tokens_per_ms) as u64;
@@ -179,7 +175,7 @@
         let is_unused = |token_ms: &u64| {
             *token_ms > entry.used_token_ms || entry.used_token_ms > unix_ms + TOKEN_LIFETIME_MS
         };
-        let owned = (oldest..=newest).filter(|it| self.position.owns(endpoint, *it));
+        let owned = (oldest..=newest).filter(|it| position.owns(endpoint, *it));
         owned.map(time_of).find(is_unused).map_or(Permission::Wait, Permission::Token)
     }
 
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -10,6 +10,9 @@
 
 use crate::{Name, endpoint_limits::FleetPosition, load_reports::name_hash};
 
+/// Number of instances that share what is divided among all, until their list was read.
+pub const ASSUMED_INSTANCES: usize = 12;
+
 /// Length of the first pause after an instance did not respond, in milliseconds; it doubles with
 /// each further failure.
 const FIRST_PAUSE_MS: u64 = 1_000;
@@ -152,8 +155,11 @@
 
     /// Place of an instance in the order of the names of all. While fewer are known than the
     /// `live_instances` that report their loads, as after a start, the place is that of a hash among
-    /// twice as many places, since those of several instances may coincide.
-    pub fn position(&self, name: &str, live_instances: usize) -> FleetPosition {
+    /// twice as many places, since those of several instances may coincide. Before the list of
+    /// instances was read, there may be [`ASSUMED_INSTANCES`].
+    pub fn position(&self, name: &str, live_instances: usize, is_list_read: bool) -> FleetPosition {
+        let assumed = if is_list_read { 0 } else { ASSUMED_INSTANCES };
+        let live_instances = live_instances.max(assumed);
         let is_listed = self.by_name.contains_key(name);
         let known = self.by_name.len() + usize::from(!is_listed);
         if known < live_instances {
--- a/crates/core/tests/endpoint_limits.rs
+++ b/crates/core/tests/endpoint_limits.rs
@@ -81,6 +81,14 @@
     a_limit_above_the_demand_is_none: 6 instances, every 1000 ms, 60.0 per s => at least 340 in 60 s;
 }
 
+fn peer(number: usize) -> Peer {
+    Peer {
+        name: Name::from(format!("front-{number}")),
+        zone: Name::from(format!("zone-{}", number % 3)),
+        control: SocketAddr::from(([10, 0, 0, number as u8], 8_748)),
+    }
+}
+
 /// Instances that started one after the other have read lists of different lengths. `live` is the
 /// number of instances whose loads they receive.
 fn fleet_with_incomplete_lists(
@@ -88,17 +96,12 @@
     live: usize,
     limit_per_s: f64,
 ) -> Vec<EndpointLimits> {
-    let peer = |number: usize| Peer {
-        name: Name::from(format!("front-{number}")),
-        zone: Name::from(format!("zone-{}", number % 3)),
-        control: SocketAddr::from(([10, 0, 0, number as u8], 8_748)),
-    };
     let mut fleet = fleet(instances, limit_per_s);
     let mut roster = Roster::default();
     for (number, limits) in fleet.iter_mut().enumerate() {
         let own = peer(number);
         roster.put(own.clone());
-        limits.set_position(roster.position(&own.name, live));
+        limits.set_position(roster.position(&own.name, live, true));
     }
     fleet
 }
@@ -144,6 +147,28 @@
     assert!(send_all(&mut fleet, 100, 10_000).is_empty());
 }
 
+/// Guards against instances that each take a whole limit before they have heard of each other.
+#[test]
+fn a_limit_is_kept_before_the_list_of_instances_was_read() {
+    let mut fleet = fleet(6, 1.5);
+    for (number, limits) in fleet.iter_mut().enumerate() {
+        let (own, mut roster) = (peer(number), Roster::default());
+        roster.put(own.clone());
+        limits.set_position(roster.position(&own.name, 0, false));
+    }
+    let most = most_within(&send_all(&mut fleet, 100, 20_000), 4_000);
+    assert!(most <= 14, "{most} in 4 s, 14 allowed");
+}
+
+#[test]
+fn an_instance_without_a_place_uses_no_limit() {
+    let mut limits = EndpointLimits::default();
+    limits.record_response(&Name::from(ENDPOINT), Some(100.0), NOW_MS, NOW_MS);
+    for at_ms in NOW_MS..NOW_MS + 2_000 {
+        assert_eq!(limits.permission(ENDPOINT, at_ms), Permission::Wait);
+    }
+}
+
 fn permits(limits: &EndpointLimits) -> bool {
     limits.permission(ENDPOINT, NOW_MS) == Permission::Unlimited
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,8 +10,8 @@
 
 use tanagergauge_core::{
     Name, balancer::Balancer, begun_streams::BegunStreams, engine_speed::SpeedGossip,
-    process_identity::ListCurrency, routing::Configuration, suspects::Suspects,
-    version_history::VersionHistory,
+    process_identity::ListCurrency, roster::ASSUMED_INSTANCES, routing::Configuration,
+    suspects::Suspects, version_history::VersionHistory,
 };
 use tokio::sync::{Notify, watch};
 
@@ -23,8 +23,6 @@
 };
 use std::sync::Arc;
 
-/// Number of instances assumed to share the retry budget until the store has been read.
-const ASSUMED_INSTANCES: usize = 12;
 /// Gap between confirmations of the list of endpoints after which the store may have been away, in
 /// milliseconds. A hub reads the list every 700 ms.
 const MAX_LIST_GAP_MS: u64 = 1_500;
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -68,9 +68,9 @@
         let roster = gateway.peers.roster();
         let now_ms = clock::now_ms();
         let hub = roster.hub(&local.zone, &local.name, now_ms).cloned();
-        let position = roster.position(&local.name, gateway.peers.live_instances());
-        update_limits(gateway, position, now_ms);
-        if gateway.peers.is_list_read() {
+        let (live, is_list_read) = (gateway.peers.live_instances(), gateway.peers.is_list_read());
+        update_limits(gateway, roster.position(&local.name, live, is_list_read), now_ms);
+        if is_list_read {
             registration::share_budgets(gateway, roster.len());
         }
         (hub, roster.members(&local.zone).count(), roster.zones().len())
