Keep the limit of an endpoint in force if a response names it unreadably

Cause: a value that could not be parsed gave the same `None` as no header. Change: `NamedLimit` tells nothing, a limit and an unreadable one apart; the last changes nothing and keeps what is known.

--- a/crates/core/src/endpoint_limits.rs
+++ b/crates/core/src/endpoint_limits.rs
@@ -58,6 +58,17 @@
     pub instances: usize,
 }
 
+/// What a response says of the endpoint's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NamedLimit {
+    /// Nothing, so that there is none.
+    None,
+    /// Requests per second that the endpoint takes from all instances.
+    RequestsPerS(f64),
+    /// Something that can't be read.
+    Unreadable,
+}
+
 /// A limit as it is sent to peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitUpdate {
@@ -117,6 +128,14 @@
         changed
     }
 
+    /// Keeps the known limit of an endpoint in force, which a response named in a form that can't be read.
+    /// `now_ms` is monotonic.
+    pub fn keep(&mut self, endpoint: &str, now_ms: u64) {
+        if let Some(entry) = self.by_endpoint.get_mut(endpoint) {
+            entry.updated_ms = now_ms;
+        }
+    }
+
     /// Merges updates of a peer, except those that name no number of requests. `now_ms` is monotonic.
     pub fn merge(&mut self, updates: Vec<LimitUpdate>, now_ms: u64) {
         for LimitUpdate { endpoint, requests_per_s, version } in updates {
--- a/crates/gateway/src/endpoint_signals.rs
+++ b/crates/gateway/src/endpoint_signals.rs
@@ -2,7 +2,7 @@
 //! for time.
 
 use hyper::{StatusCode, http::response};
-use tanagergauge_core::{Name, selection::SelectedEndpoint};
+use tanagergauge_core::{Name, endpoint_limits::NamedLimit, selection::SelectedEndpoint};
 
 use crate::{clock, gateway::Gateway, upstream_response};
 
@@ -10,15 +10,26 @@
 const LOG_TARGET: &str = "tanagergauge_gateway::attempt";
 
 /// Records the limit that the endpoint named in a response, or that it named none. Refusals and
-/// errors need not name it, and a misdirected request was answered by another endpoint.
+/// errors need not name it, and a misdirected request was answered by another endpoint. One that can't
+/// be read ends no limit.
 pub(crate) fn record_limit(gateway: &Gateway, endpoint: &Name, head: &response::Parts) {
-    let limit =
-        upstream_response::request_limit(&head.headers, &gateway.header_names.request_limit);
-    let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-    if is_misdirected || (limit.is_none() && !head.status.is_success()) {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
     let (now_ms, unix_ms) = (clock::now_ms(), clock::unix_ms());
+    let limit = match upstream_response::request_limit(
+        &head.headers,
+        &gateway.header_names.request_limit,
+    ) {
+        NamedLimit::RequestsPerS(limit) => Some(limit),
+        NamedLimit::None if head.status.is_success() => None,
+        NamedLimit::None => return,
+        NamedLimit::Unreadable => {
+            tracing::debug!(target: LOG_TARGET, %endpoint, "limit of an endpoint cannot be read");
+            gateway.balancer().limits_mut().keep(endpoint, now_ms);
+            return;
+        }
+    };
     let changed = gateway.balancer().limits_mut().record_response(endpoint, limit, now_ms, unix_ms);
     if changed {
         tracing::info!(target: LOG_TARGET, %endpoint, requests_per_s = limit, "endpoint changed its limit");
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -13,6 +13,7 @@
 use tanagergauge_core::{
     body_end::{BodyEnd, Framing},
     endpoint::ServerLoad,
+    endpoint_limits::NamedLimit,
     engine_speed,
     head_scanner::is_valid_status,
     send_history::Failure,
@@ -150,10 +151,14 @@
     }
 }
 
-/// Requests per second that the endpoint takes from all instances, if it named a limit.
-pub(crate) fn request_limit(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
-    let limit: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
-    (limit.is_finite() && limit >= 0.0).then_some(limit)
+/// The limit that the endpoint named, for all instances together.
+pub(crate) fn request_limit(headers: &HeaderMap, name: &HeaderName) -> NamedLimit {
+    let Some(value) = headers.get(name) else { return NamedLimit::None };
+    let limit = value.to_str().ok().and_then(|it| it.trim().parse().ok());
+    match limit.filter(|it: &f64| it.is_finite() && *it >= 0.0) {
+        Some(requests_per_s) => NamedLimit::RequestsPerS(requests_per_s),
+        None => NamedLimit::Unreadable,
+    }
 }
 
 /// Whether the endpoint said that it is about to stop. A misdirected request was answered by another
