Send no request of a route whose services have no weight

Callers saw: a route whose list of services has weights of 0 only sent all requests to the first of them, although each weight says that the service gets none (ROUTE, as written). Cause: a sum of 0 fell back to the first service. Change: such a route has no service, like one with an empty list: 503, not run. `configuration check` calls it an error. Measured: `targets_without_a_weight_take_no_request` failed before.

--- a/crates/core/src/configuration_check/routes.rs
+++ b/crates/core/src/configuration_check/routes.rs
@@ -67,6 +67,10 @@
     if route.targets.is_empty() {
         findings.error(list.clone(), "no service", "at least one, or all requests are refused");
     }
+    let have_no_weight = route.targets.iter().all(|it| it.weight == 0);
+    if !route.targets.is_empty() && have_no_weight {
+        findings.error(list.clone(), "no weight", "one above 0, or all requests are refused");
+    }
     for (i, target) in route.targets.iter().enumerate() {
         if !services.iter().any(|it| it.name == target.service) {
             let found = format!("the unknown service \"{}\"", target.service.escape_debug());
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -274,16 +274,16 @@
     }
 
     /// Selects the service for a request by weight, from a uniform random number. `None` if the
-    /// route has no targets.
+    /// route has no target with a weight.
     pub fn target(&self, random: u64) -> Option<&Name> {
         let sum: u64 = self.targets.iter().map(|it| u64::from(it.weight)).sum();
-        let mut left = random.checked_rem(sum).unwrap_or(0);
+        let mut left = random.checked_rem(sum)?;
         for it in &self.targets {
             if left < u64::from(it.weight) {
                 return Some(&it.service);
             }
             left -= u64::from(it.weight);
         }
-        self.targets.first().map(|it| &it.service)
+        None
     }
 }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -154,6 +154,22 @@
     assert_eq!(new, 100);
 }
 
+/// Guards against a service that gets all requests although its weight says none.
+#[test]
+fn targets_without_a_weight_take_no_request() {
+    let mut route = route("split", "/s/", 0);
+    for targets in [&["old"][..], &["old", "new"], &[]] {
+        let target = |it: &&str| Target { service: Name::from(*it), weight: 0 };
+        route.targets = targets.iter().map(target).collect();
+        assert!((0..100).all(|it| route.target(it).is_none()), "{targets:?}");
+    }
+    route.targets = vec![
+        Target { service: "old".into(), weight: 0 },
+        Target { service: "new".into(), weight: 1 },
+    ];
+    assert!((0..100).all(|it| route.target(it).is_some_and(|it| &**it == "new")));
+}
+
 macro_rules! is_latency_sensitive {
     ($($name:ident: $gap_goal_ms:literal, $tokens:literal => $expected:literal;)*) => {$(
         #[test]
