Let no request run on a route that allows no attempts

Cause: the decoder raised 0 to 1, as for a missing field. `configuration check` calls 0 an error. No valid configuration is known to have it; the closed answer was taken.

--- a/crates/core/src/configuration_check/routes.rs
+++ b/crates/core/src/configuration_check/routes.rs
@@ -106,6 +106,9 @@
 }
 
 fn check_attempts(at: &Path, route: &Route, findings: &mut Findings) {
+    if route.attempts == 0 {
+        findings.error(at.field("attempts"), "0", "1 or more, or all requests are refused");
+    }
     // Streams of a service that cannot be resumed are sent again only before they may have run.
     if route.retry_safety == RetrySafety::NonIdempotent && route.attempts > 1 {
         let expected = "1, since its requests are not sent again after they may have run";
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -67,7 +67,7 @@
     pub priority: u8,
     /// Services that run the requests; at least one.
     pub targets: Vec<Target>,
-    /// Maximum number of endpoints that may run one request.
+    /// Maximum number of endpoints that may run one request; 0 lets none run.
     pub attempts: u32,
     /// Requests without a credential are accepted.
     pub public: bool,
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -241,9 +241,12 @@
     }
 }
 
-/// The service that runs a request. Of those that share a route, the one that began a stream goes on with
-/// it.
+/// The service that runs a request; `None` if the route lets none run. Of those that share a route, the one
+/// that began a stream goes on with it.
 fn select_service(route: &Route, id: &Name, take_up: Option<&TakeUp>) -> Option<Name> {
+    if route.attempts == 0 {
+        return None;
+    }
     let begun_as = take_up.and_then(|it| it.resumes.as_ref()).unwrap_or(id);
     route.target(uniform_hash(begun_as)).cloned()
 }
