Daemon: refuse classes that the sheet doesn't give an account

Callers saw: an account of the daemon could send requests of every class, whatever its list of classes said (docs/OPERATIONS.md: `unknown_class`, "not in the sheet, or not the account's"). Cause: the list was read by checks and the load generator only. Found while listing what empty lists permit. Change: `ClientAccount::may_use` is asked for each request, and serves the checks too, which had it twice. An empty list still stands for all classes: published sheets of earlier releases write it for a missing one. Measured: `a_class_that_is_not_the_accounts_is_refused` failed before; `accounts_without_credentials_let_nobody_in` holds on both.

--- a/crates/core/src/configuration_check/sheet.rs
+++ b/crates/core/src/configuration_check/sheet.rs
@@ -35,11 +35,9 @@
     }
 }
 
-/// An account without a list of classes may use all of them.
 fn is_allowed(sheet: &Sheet, class: &Class) -> bool {
     let accounts = &sheet.client_accounts;
-    accounts.is_empty()
-        || accounts.iter().any(|it| it.classes.is_empty() || it.classes.contains(&class.name))
+    accounts.is_empty() || accounts.iter().any(|it| it.may_use(&class.name))
 }
 
 fn check_gap(at: &Path, class: &Class, findings: &mut Findings) {
--- a/crates/core/src/sheet.rs
+++ b/crates/core/src/sheet.rs
@@ -134,6 +134,13 @@
     pub classes: Vec<Name>,
 }
 
+impl ClientAccount {
+    /// Whether it may use a class.
+    pub fn may_use(&self, class: &str) -> bool {
+        self.classes.is_empty() || self.classes.iter().any(|it| it.as_str() == class)
+    }
+}
+
 /// A reference to a caller's credential. Contains only the hash, never the credential itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName};
-use tanagergauge_core::{Name, Reason};
+use tanagergauge_core::{Name, Reason, sheet::ClientAccount};
 use uuid::Uuid;
 
 use crate::{
@@ -46,23 +46,28 @@
 pub fn identify(map: &HeaderMap, view: &View, now_unix_ms: u64) -> Result<Caller, Refusal> {
     let account = account(map, view, now_unix_ms)?;
     let class = class(map, view)?;
+    require_class(account, &class)?;
     let deadline_ms = deadline_ms(map)?.unwrap_or(class.class.whole_answer_ms);
     let key = key(map, &class)?;
-    Ok(Caller { account, class, deadline_ms, key })
+    Ok(Caller { account: account.name.clone(), class, deadline_ms, key })
 }
 
 /// Reads only the credentials of a request.
 ///
 /// # Errors
 /// No, unknown or expired credentials.
-pub fn account(map: &HeaderMap, view: &View, now_unix_ms: u64) -> Result<Name, Refusal> {
+pub fn account<'a>(
+    map: &HeaderMap,
+    view: &'a View,
+    now_unix_ms: u64,
+) -> Result<&'a ClientAccount, Refusal> {
     let text = single(map, &AUTHORIZATION)?
         .ok_or_else(|| Refusal::not_run(Reason::Unauthenticated, "Authorization is missing"))?;
     let token = text.strip_prefix("Bearer ").ok_or_else(|| {
         Refusal::not_run(Reason::Unauthenticated, "Authorization is not `Bearer TOKEN`")
     })?;
     match view.credential(token.as_bytes(), now_unix_ms) {
-        CredentialState::Valid(account) => Ok(account.name.clone()),
+        CredentialState::Valid(account) => Ok(account),
         CredentialState::Expired => {
             Err(Refusal::not_run(Reason::CredentialExpired, "the credential has expired"))
         }
@@ -80,6 +85,16 @@
     })
 }
 
+/// Requires that an account may use a class.
+fn require_class(account: &ClientAccount, class: &RankedClass) -> Result<(), Refusal> {
+    let name = &class.class.name;
+    if account.may_use(name) {
+        return Ok(());
+    }
+    let message = format!("the account `{}` may not use class `{name}`", account.name);
+    Err(Refusal::not_run(Reason::UnknownClass, message))
+}
+
 fn deadline_ms(map: &HeaderMap) -> Result<Option<u64>, Refusal> {
     let Some(text) = single(map, &headers::DEADLINE_MS)? else {
         return Ok(None);
--- a/crates/daemon/src/tickets.rs
+++ b/crates/daemon/src/tickets.rs
@@ -21,7 +21,7 @@
 pub fn give(shared: &Shared, map: &HeaderMap) -> Result<Response<AnswerBody>, Refusal> {
     let view = shared.view()?;
     let account = caller::account(map, &view, unix_ms())?;
-    let given = shared.keys()?.give_ticket(&account)?;
+    let given = shared.keys()?.give_ticket(&account.name)?;
     let document = TicketDocument { ticket: given.text, expires_unix_ms: given.expires_unix_ms };
     let body = serde_json::to_vec(&document).unwrap_or_default();
     let mut response = Response::new(AnswerBody::whole(body));
--- a/crates/daemon/tests/badinput.rs
+++ b/crates/daemon/tests/badinput.rs
@@ -6,8 +6,8 @@
 use serde_json::json;
 use tanagergauge_core::{Name, Outcome, Reason, sheet::Credential};
 use tanagergauge_testenv::{
-    Call, Fleet, FleetOptions, LOOKUP_CLASS, PUBLISH_CLASS, RawConnection, TOKEN, URGENT_CLASS,
-    eventually,
+    Call, Fleet, FleetOptions, LOOKUP_CLASS, OTHER_TOKEN, PUBLISH_CLASS, RawConnection, TOKEN,
+    URGENT_CLASS, eventually,
 };
 
 const BINARY: &str = env!("CARGO_BIN_EXE_tanagergauged");
@@ -99,6 +99,49 @@
         chat().deadline_ms(900).second("X-Deadline-Ms", "901") => 400, DuplicateHeader;
 }
 
+/// Guards against accounts that use classes which the sheet doesn't give them.
+#[tokio::test]
+async fn a_class_that_is_not_the_accounts_is_refused() {
+    let mut fleet = fleet().await;
+    let mut sheet = fleet.plan.sheet();
+    sheet.client_accounts[0].classes = vec![Name::from(LOOKUP_CLASS)];
+    fleet.publish(&sheet);
+    eventually("the sheet is in force", async || {
+        chat().send(fleet.instances[0].address()).await.status == 400
+    })
+    .await;
+    let runs = fleet.engines[0].records().len();
+    let refused = chat().send(fleet.instances[0].address()).await;
+    let seen = (refused.status, refused.outcome(), refused.reason());
+    assert_eq!(seen, (400, Some(Outcome::NotRun), Some(Reason::UnknownClass)));
+    assert_eq!(fleet.engines[0].records().len(), runs);
+    let allowed = lookup().send(fleet.instances[0].address()).await;
+    assert_eq!(allowed.outcome(), Some(Outcome::Answered), "{allowed:?}");
+    let other = chat().token(OTHER_TOKEN).send(fleet.instances[0].address()).await;
+    assert_eq!(other.outcome(), Some(Outcome::Answered), "{other:?}");
+}
+
+/// Guards against an account whose last credential is taken away and that everyone may use then.
+#[tokio::test]
+async fn accounts_without_credentials_let_nobody_in() {
+    let mut fleet = fleet().await;
+    let mut sheet = fleet.plan.sheet();
+    for account in &mut sheet.client_accounts {
+        account.credentials.clear();
+    }
+    fleet.publish(&sheet);
+    eventually("the sheet is in force", async || {
+        chat().send(fleet.instances[0].address()).await.status == 401
+    })
+    .await;
+    let runs = fleet.engines[0].records().len();
+    for call in [chat(), chat().token("guess"), chat().token(""), chat().without("Authorization")] {
+        let answer = call.send(fleet.instances[0].address()).await;
+        assert_eq!((answer.status, answer.outcome()), (401, Some(Outcome::NotRun)), "{answer:?}");
+    }
+    assert_eq!(fleet.engines[0].records().len(), runs);
+}
+
 #[tokio::test]
 async fn an_expired_token_is_named_as_such() {
     let mut fleet = fleet().await;
--- a/crates/tool/src/profile.rs
+++ b/crates/tool/src/profile.rs
@@ -223,8 +223,7 @@
 
 /// Accounts of the sheet that may send a class.
 pub(crate) fn accounts_of<'a>(sheet: &'a Sheet, class: &Class) -> Vec<&'a ClientAccount> {
-    let may = |it: &&ClientAccount| it.classes.is_empty() || it.classes.contains(&class.name);
-    sheet.client_accounts.iter().filter(may).collect()
+    sheet.client_accounts.iter().filter(|it| it.may_use(&class.name)).collect()
 }
 
 fn check_class(findings: &mut Findings, at: &Path, class: &Name, sheet: &Sheet) {
