Check of a configuration: a missing number of connections is not 0

Cause: a missing field was read as 0, and the check warned that endpoints accept no connection. Instances don't use the number. Change: an `Option`. Measured: the new case failed before by the warning's text, by reading; it passes.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -106,8 +106,8 @@
 pub struct Service {
     /// Name by which routes refer to it.
     pub name: Name,
-    /// Maximum number of connections that one endpoint accepts in total, whoever opens them.
-    pub connection_limit: u32,
+    /// Maximum number of connections that one endpoint accepts in total, whoever opens them, if it is known.
+    pub connection_limit: Option<u32>,
     /// Path at which its endpoints respond to health checks, if they do.
     pub health_path: Option<Name>,
     /// Present if its endpoints are engines that run models.
