End no stream as whole whose process was replaced while the instance was frozen

Cause: any answer to a health check counted as presence, and the process that came later bears the same id. Change: engines are asked for their own report, on the check's connection, and its start has to be that of the entry; it costs the same probe. Others are believed if this process ran all the while; after a pause of 0.6 s or longer the entry has to be unchanged in a list that is current 0.4 s after the check. What can't be shown breaks off visibly.

--- a/crates/core/src/process_identity.rs
+++ b/crates/core/src/process_identity.rs
@@ -28,6 +28,20 @@
     pub gap_end_ms: Option<u64>,
 }
 
+impl ListCurrency {
+    /// Whether the list is of a time by which a process that accepted a connection at `accepted_ms` must have
+    /// written its entry.
+    pub fn shows_entry_of(self, accepted_ms: u64) -> bool {
+        let after_gap_ms = self.gap_end_ms.map_or(0, |it| it + ENTRY_WRITTEN_AGAIN_MS);
+        self.is_read_after(accepted_ms) && self.confirmed_ms >= after_gap_ms
+    }
+
+    /// The same where only this instance was out of step, and the store was not away.
+    pub fn is_read_after(self, accepted_ms: u64) -> bool {
+        self.confirmed_ms >= accepted_ms + ENTRY_WRITTEN_MS
+    }
+}
+
 /// What is known of the identity of an endpoint's process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ProcessIdentity {
@@ -91,15 +105,21 @@
         list: ListCurrency,
         now_ms: u64,
     ) -> bool {
-        let after_gap_ms = list.gap_end_ms.map_or(0, |it| it + ENTRY_WRITTEN_AGAIN_MS);
-        let written_ms = after_gap_ms.max(accepted_ms + ENTRY_WRITTEN_MS);
         let is_later = self.doubt.is_some_and(|it| accepted_ms >= it.latest_ms);
-        if is_later && list.confirmed_ms >= written_ms {
+        if is_later && list.shows_entry_of(accepted_ms) {
             *self = ProcessIdentity { doubt: None, shown_ms: now_ms };
         }
         self.is_proven()
     }
 
+    /// Records that the process which answered at `asked_ms` is that of the entry, by its own report.
+    pub fn record_shown(&mut self, asked_ms: u64) {
+        if self.doubt.is_none_or(|it| asked_ms > it.latest_ms) {
+            self.doubt = None;
+            self.shown_ms = self.shown_ms.max(asked_ms);
+        }
+    }
+
     /// Whether nothing hints at another process than that of the entry.
     pub fn is_proven(&self) -> bool {
         self.doubt.is_none()
--- a/crates/core/src/version_selection.rs
+++ b/crates/core/src/version_selection.rs
@@ -91,6 +91,21 @@
         }
     }
 
+    /// Records that the process of an endpoint is that of its entry, by the report that it gave at `asked_ms`.
+    pub fn record_process_shown(&mut self, selected: &SelectedEndpoint, asked_ms: u64) {
+        let endpoint = self.endpoints.get_mut(&selected.id);
+        let endpoint = endpoint.filter(|it| it.info.incarnation == selected.incarnation);
+        if let Some(it) = endpoint {
+            it.process.record_shown(asked_ms);
+        }
+    }
+
+    /// Whether the entry by which an endpoint was selected is still in force.
+    pub fn is_entry_unchanged(&self, selected: &SelectedEndpoint) -> bool {
+        let endpoint = self.endpoints.get(&selected.id);
+        endpoint.is_some_and(|it| it.info.incarnation == selected.incarnation)
+    }
+
     /// Records that the process that accepted a connection at `accepted_ms` is still there and that the
     /// entry is unchanged. Returns whether it is proven to be that of the entry.
     pub fn record_unchanged_entry(
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// When the attempt began; monotonic.
+    pub(crate) fn begun_ms(&self) -> u64 {
+        clock::now_ms().saturating_sub(clock::elapsed_ms(self.started))
+    }
+
     /// Records the first byte of the response; later calls have no effect.
     pub(crate) fn record_first_byte(&mut self, load: Option<ServerLoad>) {
         if self.has_first_byte {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -308,7 +308,8 @@
         BodyEnd::Whole => false,
         BodyEnd::BrokenOff => true,
         BodyEnd::Unknown => {
-            !liveness::is_present_after_end(gateway, request, &attempt.chosen).await
+            let (chosen, begun_ms) = (&attempt.chosen, attempt.begun_ms());
+            !liveness::is_present_after_end(gateway, request, chosen, begun_ms).await
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,10 +16,22 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    admission_controllers::AdmissionControllers, body_memory::BodyMemory, clock,
-    departures::Departures, duties::Duties, header_names::HeaderNames, liveness::LivenessChecks,
-    peers::PeerState, pool::Pool, process_proof::ProofSearches, retry_budgets::RetryBudgets,
-    settings::Settings, stop::Phase, suspects,
+    admission_controllers::AdmissionControllers,
+    body_memory::BodyMemory,
+    clock,
+    departures::Departures,
+    duties::Duties,
+    header_names::HeaderNames,
+    liveness::LivenessChecks,
+    pause::Pauses,
+    peers::PeerState,
+    pool::Pool,
+    process_proof::ProofSearches,
+    process_report::{ReportFormat, SilentProcesses},
+    retry_budgets::RetryBudgets,
+    settings::Settings,
+    stop::Phase,
+    suspects,
 };
 use std::sync::Arc;
 
@@ -31,6 +43,9 @@
 pub(crate) struct Gateway {
     pub(crate) settings: Settings,
     pub(crate) header_names: HeaderNames,
+    pub(crate) report_format: ReportFormat,
+    pub(crate) silent_processes: SilentProcesses,
+    pub(crate) pauses: Pauses,
     pub(crate) pool: Pool,
     pub(crate) peers: PeerState,
     pub(crate) liveness_checks: LivenessChecks,
@@ -68,7 +83,11 @@
 
 impl Gateway {
     /// State without configuration and endpoints.
-    pub(crate) fn new(settings: Settings, header_names: HeaderNames) -> Gateway {
+    pub(crate) fn new(
+        settings: Settings,
+        header_names: HeaderNames,
+        report_format: ReportFormat,
+    ) -> Gateway {
         let balancer = Balancer::new(settings.balance());
         // The time of start tells this process's updates from those of the one before.
         let update_log = clock::unix_ms().max(1);
@@ -79,6 +98,9 @@
         Gateway {
             duties,
             header_names,
+            report_format,
+            silent_processes: SilentProcesses::default(),
+            pauses: Pauses::default(),
             pool: Pool::default(),
             peers: PeerState::default(),
             liveness_checks: LivenessChecks::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,9 +32,11 @@
 mod liveness;
 mod logs;
 mod meters;
+mod pause;
 mod peers;
 mod pool;
 mod process_proof;
+mod process_report;
 mod program;
 mod progress;
 mod relay;
@@ -59,6 +61,7 @@
 
 pub use duty_settings::{DutySettings, OrderMode};
 pub use header_names::HeaderNames;
+pub use process_report::ReportFormat;
 pub use program::run;
 pub use settings::Settings;
 pub use store::{
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -17,8 +17,15 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
-    attempt::collect_body, clock, connection::Connection, gateway::Gateway, pool::ConnectFailed,
-    process_proof, request::Request, suspects, upstream_response,
+    attempt::collect_body,
+    clock,
+    connection::Connection,
+    gateway::Gateway,
+    pool::ConnectFailed,
+    process_proof,
+    process_report::{self, ProcessReport},
+    request::Request,
+    suspects, upstream_response,
 };
 
 /// Time that a process which ends may take to close its sockets.
@@ -32,6 +39,11 @@
 /// Maximum number of connections opened to find out whether an endpoint is there.
 const MAX_PRESENCE_CHECKS: usize = 3;
 
+/// Longest wait for a list of endpoints by which a process must have written its entry.
+const ENTRY_WAIT: Duration = Duration::from_secs(1);
+/// Interval at which the list is looked at meanwhile.
+const ENTRY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Endpoints whose liveness is being checked.
 #[derive(Debug, Default)]
 pub(crate) struct LivenessChecks {
@@ -47,11 +59,13 @@
 /// What connections to an endpoint show of it.
 #[derive(Debug)]
 enum Presence {
+    /// Its process reported that it is that of its entry; `None` if the connection cannot be used again.
+    Shown(Option<Box<Connection>>),
     /// It responded, or kept a connection open; `None` if that cannot be used again.
     Present(Option<Box<Connection>>),
     /// It accepts connections and closes them: it has as many as it takes.
     Full,
-    /// No process listens at its address, or that of another endpoint.
+    /// No process listens at its address, or another one than that of its entry.
     Gone,
     /// Nothing came back.
     Unreachable,
@@ -71,16 +85,32 @@
 /// connection is kept for the next request, as the response used one up.
 ///
 /// That its host accepts a connection is not enough: it does so until a process that ends has closed all
-/// its sockets.
+/// its sockets. Nor is it that a process answers, if this one did not run all the while since `begun_ms`: the
+/// endpoint may have started again meanwhile.
 pub(crate) async fn is_present_after_end(
     gateway: &Arc<Gateway>,
     request: &Request,
     endpoint: &SelectedEndpoint,
+    begun_ms: u64,
 ) -> bool {
+    let checked_ms = clock::now_ms();
     let checking = check_presence(gateway, &request.service, endpoint);
     let presence = timeout_at(request.deadline, checking).await.unwrap_or(Presence::Unreachable);
     tracing::debug!(request = %request.id, endpoint = %endpoint.id, ?presence, "checked after an unknown end");
+    let may_be_another = matches!(presence, Presence::Present(_) | Presence::Full)
+        && gateway.pauses.has_paused_since(begun_ms);
+    if may_be_another && !is_entry_kept(gateway, endpoint, checked_ms).await {
+        tracing::info!(request = %request.id, endpoint = %endpoint.id, "the endpoint may have started again while this process did not run");
+        process_proof::record_disconnect(gateway, &endpoint.id);
+        return false;
+    }
     match presence {
+        Presence::Shown(connection) => {
+            if let Some(connection) = connection {
+                gateway.pool.put(&endpoint.id, *connection, None);
+            }
+            true
+        }
         Presence::Present(connection) => {
             if let Some(connection) = connection {
                 gateway.pool.put(&endpoint.id, *connection, None);
@@ -103,6 +133,11 @@
 }
 
 async fn check_presence(gateway: &Gateway, service: &str, endpoint: &SelectedEndpoint) -> Presence {
+    if process_report::can_ask(gateway, endpoint, service)
+        && let Some(presence) = ask_process(gateway, endpoint).await
+    {
+        return presence;
+    }
     let health_path =
         gateway.configuration().and_then(|it| it.service(service)?.health_path.clone());
     let mut presence = Presence::Unreachable;
@@ -112,8 +147,7 @@
                 Some(path) => check_health(gateway, endpoint, connection, path).await,
                 None => wait_for_close(connection).await,
             },
-            Err(ConnectFailed::Refused) => Presence::Gone,
-            Err(ConnectFailed::Unreachable) => Presence::Unreachable,
+            Err(failure) => Presence::of_failure(failure),
         };
         if matches!(presence, Presence::Present(_) | Presence::Gone) {
             return presence;
@@ -122,6 +156,53 @@
     presence
 }
 
+/// Asks an endpoint's process whether it is that of its entry. `None` if that shows nothing.
+async fn ask_process(gateway: &Gateway, endpoint: &SelectedEndpoint) -> Option<Presence> {
+    let connection = match gateway.pool.connect(endpoint.address).await {
+        Ok(connection) => connection,
+        Err(failure) => return Some(Presence::of_failure(failure)),
+    };
+    let asked_ms = clock::now_ms();
+    match process_report::ask(gateway, endpoint, connection).await {
+        ProcessReport::Same(connection) => {
+            gateway.balancer().record_process_shown(endpoint, asked_ms);
+            Some(Presence::Shown(connection))
+        }
+        ProcessReport::Replaced(started_unix_ms) => {
+            tracing::info!(endpoint = %endpoint.id, started_unix_ms, "another process has taken the place of an endpoint");
+            Some(Presence::Gone)
+        }
+        ProcessReport::Misdirected => Some(Presence::Gone),
+        ProcessReport::Untold | ProcessReport::Failed => None,
+    }
+}
+
+/// Whether the entry of an endpoint stays the same for longer than a process needs to write its own that
+/// answered at `checked_ms`. False if that can't be known, as while the store is away.
+async fn is_entry_kept(gateway: &Gateway, endpoint: &SelectedEndpoint, checked_ms: u64) -> bool {
+    let wait_end = Instant::now() + ENTRY_WAIT;
+    while Instant::now() < wait_end {
+        if !gateway.balancer().is_entry_unchanged(endpoint) {
+            return false;
+        }
+        if gateway.list_currency().is_read_after(checked_ms) {
+            return true;
+        }
+        gateway.list_wanted.notify_one();
+        sleep(ENTRY_CHECK_INTERVAL).await;
+    }
+    false
+}
+
+impl Presence {
+    fn of_failure(failure: ConnectFailed) -> Presence {
+        match failure {
+            ConnectFailed::Refused => Presence::Gone,
+            ConnectFailed::Unreachable => Presence::Unreachable,
+        }
+    }
+}
+
 /// Asks an endpoint for its health. Any response of its own shows that it is there, and so does a
 /// connection that stays open for [`HEALTH_TIMEOUT`].
 async fn check_health(
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -131,6 +131,11 @@
     counter!("tanagergauge_unauthenticated_total", "credential" => credential).increment(1);
 }
 
+/// Counts an endpoint's process that was asked when it started.
+pub(crate) fn process_report(result: &'static str) {
+    counter!("tanagergauge_process_reports_total", "result" => result).increment(1);
+}
+
 /// Counts a failed attempt.
 pub(crate) fn attempt_failed(failure: Failure) {
     let reason: &'static str = failure.into();
--- /dev/null
+++ b/crates/gateway/src/process_report.rs
@@ -0,0 +1,149 @@
+//! Asks an endpoint's process when it started, which tells it from another one at the same address.
+
+use std::{
+    collections::HashSet,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use http_body_util::Full;
+use hyper::{Response, StatusCode, body::Incoming, header::HOST};
+use tanagergauge_core::{Name, selection::SelectedEndpoint};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    attempt::collect_body, connection::Connection, gateway::Gateway, meters, upstream_response,
+};
+
+/// Time-out for a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Most processes that are remembered not to report.
+const MAX_SILENT_PROCESSES: usize = 4_096;
+
+/// How endpoints report on themselves.
+#[derive(Clone, Copy, Debug)]
+pub struct ReportFormat {
+    /// Path of the report.
+    pub path: &'static str,
+    /// Reads when the process started, in milliseconds of Unix time; `None` if the report does not tell.
+    pub decode_start: fn(&[u8]) -> Option<u64>,
+}
+
+/// Processes that do not report when they started, so that they are not asked again: endpoint and
+/// incarnation.
+#[derive(Debug, Default)]
+pub(crate) struct SilentProcesses(Mutex<HashSet<(Name, u64)>>);
+
+/// What came of asking a process when it started.
+#[derive(Debug)]
+pub(crate) enum ProcessReport {
+    /// It is that of the endpoint's entry. The connection may be used again, if it is there.
+    Same(Option<Box<Connection>>),
+    /// Another process of the endpoint's id, which started at this time, in milliseconds of Unix time.
+    Replaced(u64),
+    /// Another endpoint has the address.
+    Misdirected,
+    /// It does not tell.
+    Untold,
+    /// No answer came.
+    Failed,
+}
+
+impl ProcessReport {
+    fn label(&self) -> &'static str {
+        match self {
+            ProcessReport::Same(_) => "same",
+            ProcessReport::Replaced(_) => "replaced",
+            ProcessReport::Misdirected => "misdirected",
+            ProcessReport::Untold => "untold",
+            ProcessReport::Failed => "failed",
+        }
+    }
+}
+
+/// Whether the process of an endpoint can be asked: engines report.
+pub(crate) fn can_ask(gateway: &Gateway, endpoint: &SelectedEndpoint, service: &str) -> bool {
+    let configuration = gateway.configuration();
+    let is_engine =
+        configuration.is_some_and(|it| it.service(service).is_some_and(|it| it.engine.is_some()));
+    is_engine && endpoint.incarnation > 0 && !gateway.silent_processes.contains(endpoint)
+}
+
+/// Asks the process that accepted a connection when it started.
+pub(crate) async fn ask(
+    gateway: &Gateway,
+    endpoint: &SelectedEndpoint,
+    connection: Connection,
+) -> ProcessReport {
+    let report = exchange(gateway, endpoint, connection).await;
+    if matches!(report, ProcessReport::Untold) {
+        gateway.silent_processes.insert(endpoint);
+    }
+    meters::process_report(report.label());
+    tracing::debug!(endpoint = %endpoint.id, report = report.label(), "process reported");
+    report
+}
+
+async fn exchange(
+    gateway: &Gateway,
+    endpoint: &SelectedEndpoint,
+    mut connection: Connection,
+) -> ProcessReport {
+    let deadline = Instant::now() + REPORT_TIMEOUT;
+    let request = hyper::Request::builder()
+        .uri(gateway.report_format.path)
+        .header(HOST, endpoint.address.to_string())
+        .header(&gateway.header_names.expected_endpoint, &*endpoint.id)
+        .body(Full::default());
+    let Ok(request) = request else { return ProcessReport::Untold };
+    connection.read_limit.await_head();
+    let response = match timeout_at(deadline, connection.sender.send_request(request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(_)) | Err(_) => return ProcessReport::Failed,
+    };
+    connection.read_limit.head_received();
+    let status = response.status();
+    let closes = upstream_response::closes_connection(response.headers());
+    match status {
+        StatusCode::OK => {}
+        StatusCode::MISDIRECTED_REQUEST => return ProcessReport::Misdirected,
+        it if it.is_server_error() => return ProcessReport::Failed,
+        _ => return ProcessReport::Untold,
+    }
+    let Some(started_unix_ms) = read_start(gateway, response, deadline).await else {
+        return ProcessReport::Untold;
+    };
+    if started_unix_ms != endpoint.incarnation {
+        return ProcessReport::Replaced(started_unix_ms);
+    }
+    ProcessReport::Same((!closes).then(|| Box::new(connection)))
+}
+
+/// When the process started, as its report tells.
+async fn read_start(
+    gateway: &Gateway,
+    response: Response<Incoming>,
+    deadline: Instant,
+) -> Option<u64> {
+    let (head, body) = response.into_parts();
+    if !upstream_response::is_json(&head) {
+        return None;
+    }
+    let body = collect_body(gateway, body, deadline).await.ok()?;
+    (gateway.report_format.decode_start)(&body)
+}
+
+impl SilentProcesses {
+    fn contains(&self, endpoint: &SelectedEndpoint) -> bool {
+        let processes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        processes.contains(&(endpoint.id.clone(), endpoint.incarnation))
+    }
+
+    fn insert(&self, endpoint: &SelectedEndpoint) {
+        let mut processes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if processes.len() >= MAX_SILENT_PROCESSES {
+            processes.clear();
+        }
+        processes.insert((endpoint.id.clone(), endpoint.incarnation));
+    }
+}
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -22,7 +22,7 @@
     follow::StoreFollower,
     gateway::Gateway,
     header_names::HeaderNames,
-    logs, meters, peers, process_proof,
+    logs, meters, pause, peers, process_proof,
     settings::Settings,
     socket, stop,
     store::{Decoders, Store},
@@ -100,7 +100,7 @@
         "start"
     );
     let store = Arc::new((clients.connect)(&settings));
-    let gateway = Arc::new(Gateway::new(settings, names));
+    let gateway = Arc::new(Gateway::new(settings, names, decoders.report));
     let follower = Arc::new(StoreFollower::new(Arc::clone(&gateway), decoders));
     tokio::spawn(follow::configuration(Arc::clone(&follower), Arc::clone(&store)));
     tokio::spawn(follow::endpoints(Arc::clone(&follower), Arc::clone(&store)));
@@ -111,6 +111,7 @@
     tokio::spawn(accept::readiness(Arc::clone(&gateway), ready));
     tokio::spawn(accept::control(follower, control));
     tokio::spawn(expire_connections(Arc::clone(&gateway)));
+    tokio::spawn(pause::watch(Arc::clone(&gateway)));
     tokio::spawn(reload_settings(path, gateway.settings.log.clone(), hangup));
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -234,9 +234,10 @@
         let state = std::mem::replace(&mut self.state, State::Transition);
         let State::Streaming(upstream) = state else { return };
         let (gateway, request) = (Arc::clone(&self.gateway), Arc::clone(&self.request));
-        let chosen = upstream.attempt.chosen.clone();
-        let check =
-            async move { liveness::is_present_after_end(&gateway, &request, &chosen).await };
+        let (chosen, begun_ms) = (upstream.attempt.chosen.clone(), upstream.attempt.begun_ms());
+        let check = async move {
+            liveness::is_present_after_end(&gateway, &request, &chosen, begun_ms).await
+        };
         self.state = State::CheckingEndpoint(upstream, Box::pin(check));
     }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use tanagergauge_core::{Name, routing::Configuration};
 
+use crate::process_report::ReportFormat;
+
 pub use tanagergauge_core::compacted_log::Record;
 
 /// A compacted log: the newest value of each key is retained.
@@ -213,4 +215,6 @@
     pub configuration: DecodeConfiguration,
     /// Decodes the value of an endpoint's entry.
     pub endpoint: fn(&[u8]) -> Result<EndpointEntry, DecodeError>,
+    /// Where and how endpoints report on themselves.
+    pub report: ReportFormat,
 }
--- a/crates/gateway/src/upstream_response.rs
+++ b/crates/gateway/src/upstream_response.rs
@@ -24,6 +24,8 @@
 
 /// Content type of a stream of server-sent events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
+/// Content type of a report.
+const JSON: &[u8] = b"application/json";
 /// Content type of bytes of any kind, which says no more than none at all (RFC 9110, section 8.3).
 const UNNAMED_CONTENT: &[u8] = b"application/octet-stream";
 /// Response headers that apply to a single connection only.
@@ -203,6 +205,11 @@
     head.status.is_success() && media_type(head).eq_ignore_ascii_case(EVENT_STREAM)
 }
 
+/// Whether a response holds JSON by its content type.
+pub(crate) fn is_json(head: &response::Parts) -> bool {
+    media_type(head).eq_ignore_ascii_case(JSON)
+}
+
 /// The content type without its parameters.
 fn media_type(head: &response::Parts) -> &[u8] {
     let content_type = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
