Move a stream only once it is shown which process began it

Cause: only a broken connection raised a doubt, so that a process to which a new connection was opened was taken for that of an entry read before. Change: an answer moves once a list that is current 0.4 s after its connection was opened shows the entry unchanged, or an engine reported later; a stalled stream asks for that list. Callers' take-ups are recorded at once as before, as the instance may be gone a moment later, and the record is taken back where the entry turns out to be another process's. Engines in doubt are asked for their report, in place of a connection held for 0.4 s; services whose streams may not be resumed are neither doubted nor asked, which spares a connection for each end there.

--- a/crates/core/src/begun_streams.rs
+++ b/crates/core/src/begun_streams.rs
@@ -140,6 +140,13 @@
         self.learn(key, version, StreamOrigin::ThisInstance, now_ms);
     }
 
+    /// Takes back what was recorded of a stream. Peers that were told keep it.
+    pub fn forget(&mut self, key: StreamKey) {
+        if self.streams.remove(&key).is_some() {
+            self.oldest_first.retain(|it| *it != key);
+        }
+    }
+
     /// Version at which a stream began; `None` if it is not known or too long ago.
     pub fn version_of(&self, key: StreamKey, now_ms: u64) -> Option<&Name> {
         let stream = self.streams.get(&key)?;
--- a/crates/core/src/process_identity.rs
+++ b/crates/core/src/process_identity.rs
@@ -125,7 +125,15 @@
         self.doubt.is_none()
     }
 
-    /// Whether a connection that was opened at `opened_ms` leads to the entry's process.
+    /// Whether a connection that was opened at `opened_ms` is shown to lead to the entry's process: that was
+    /// shown later, or the process which accepted it must have written its entry by the time of the list.
+    pub fn is_shown_on(&self, opened_ms: u64, list: ListCurrency) -> bool {
+        let is_shown = opened_ms <= self.shown_ms || list.is_read_after(opened_ms);
+        is_shown && self.is_reached_by(opened_ms)
+    }
+
+    /// Whether nothing hints at another process than the entry's on a connection that was opened at
+    /// `opened_ms`.
     pub fn is_reached_by(&self, opened_ms: u64) -> bool {
         self.doubt.is_none_or(|it| opened_ms < it.since_ms)
     }
--- a/crates/core/src/version_selection.rs
+++ b/crates/core/src/version_selection.rs
@@ -92,9 +92,9 @@
     }
 
     /// Records that the process of an endpoint is that of its entry, by the report that it gave at `asked_ms`.
-    pub fn record_process_shown(&mut self, selected: &SelectedEndpoint, asked_ms: u64) {
-        let endpoint = self.endpoints.get_mut(&selected.id);
-        let endpoint = endpoint.filter(|it| it.info.incarnation == selected.incarnation);
+    pub fn record_process_shown(&mut self, id: &str, incarnation: u64, asked_ms: u64) {
+        let endpoint = self.endpoints.get_mut(id);
+        let endpoint = endpoint.filter(|it| it.info.incarnation == incarnation);
         if let Some(it) = endpoint {
             it.process.record_shown(asked_ms);
         }
@@ -102,8 +102,7 @@
 
     /// Whether the entry by which an endpoint was selected is still in force.
     pub fn is_entry_unchanged(&self, selected: &SelectedEndpoint) -> bool {
-        let endpoint = self.endpoints.get(&selected.id);
-        endpoint.is_some_and(|it| it.info.incarnation == selected.incarnation)
+        self.entry_of(selected).is_some()
     }
 
     /// Records that the process that accepted a connection at `accepted_ms` is still there and that the
@@ -122,17 +121,40 @@
     /// Software version of the process that a request was sent to; `None` if it may be another process
     /// than that of the entry by which it was selected.
     pub fn proven_version(&self, selected: &SelectedEndpoint) -> Option<&Name> {
-        let endpoint = self.endpoints.get(&selected.id)?;
-        let is_same = endpoint.info.incarnation == selected.incarnation;
-        (is_same && endpoint.process.is_proven()).then_some(&endpoint.info.software_version)
+        let endpoint = self.entry_of(selected)?;
+        endpoint.process.is_proven().then_some(&endpoint.info.software_version)
     }
 
-    /// Whether a connection that was opened at `opened_ms` leads to the process by whose entry an endpoint
-    /// was selected.
-    pub fn is_reached_by(&self, selected: &SelectedEndpoint, opened_ms: u64) -> bool {
+    /// Software version of the process that a connection leads to, which was opened at `opened_ms`; `None`
+    /// if it is not shown to be that of the entry by which the endpoint was selected.
+    pub fn shown_version(
+        &self,
+        selected: &SelectedEndpoint,
+        opened_ms: u64,
+        list: ListCurrency,
+    ) -> Option<&Name> {
+        let endpoint = self.entry_of(selected)?;
+        let is_shown = endpoint.process.is_shown_on(opened_ms, list);
+        is_shown.then_some(&endpoint.info.software_version)
+    }
+
+    /// The same without asking for evidence; `None` only if something hints at another process.
+    pub fn assumed_version(&self, selected: &SelectedEndpoint, opened_ms: u64) -> Option<&Name> {
+        let endpoint = self.entry_of(selected)?;
+        let is_reached = endpoint.process.is_reached_by(opened_ms);
+        is_reached.then_some(&endpoint.info.software_version)
+    }
+
+    /// The endpoint, if the entry by which it was selected is still in force.
+    fn entry_of(&self, selected: &SelectedEndpoint) -> Option<&Endpoint> {
         let endpoint = self.endpoints.get(&selected.id);
-        let endpoint = endpoint.filter(|it| it.info.incarnation == selected.incarnation);
-        endpoint.is_some_and(|it| it.process.is_reached_by(opened_ms))
+        endpoint.filter(|it| it.info.incarnation == selected.incarnation)
+    }
+
+    /// Whether nothing hints at another process than that by whose entry an endpoint was selected, on a
+    /// connection that was opened at `opened_ms`.
+    pub fn is_reached_by(&self, selected: &SelectedEndpoint, opened_ms: u64) -> bool {
+        self.entry_of(selected).is_some_and(|it| it.process.is_reached_by(opened_ms))
     }
 
     /// Number of listed endpoints whose process is not proven to be that of the entry.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -44,6 +44,8 @@
     /// Present if the request went through admission control.
     expectation: Option<Expectation>,
     connection: Option<Connection>,
+    /// When the connection was open at the latest; monotonic.
+    pub(crate) opened_ms: u64,
     started: Instant,
     has_first_byte: bool,
     /// Time that opening connections took, in milliseconds.
@@ -86,6 +88,7 @@
             service,
             expectation,
             connection: None,
+            opened_ms: 0,
             started,
             has_first_byte: false,
             connect_ms: 0.0,
@@ -307,6 +310,7 @@
     };
     connection.read_limit.head_received();
     let opened_ms = connection.opened_ms;
+    attempt.opened_ms = opened_ms;
     attempt.connection = Some(connection);
     let (head, body) = response.into_parts();
     attempt.record_connection_headers(&head);
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -165,7 +165,8 @@
     let asked_ms = clock::now_ms();
     match process_report::ask(gateway, endpoint, connection).await {
         ProcessReport::Same(connection) => {
-            gateway.balancer().record_process_shown(endpoint, asked_ms);
+            let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+            gateway.balancer().record_process_shown(id, incarnation, asked_ms);
             Some(Presence::Shown(connection))
         }
         ProcessReport::Replaced(started_unix_ms) => {
--- a/crates/gateway/src/process_proof.rs
+++ b/crates/gateway/src/process_proof.rs
@@ -7,15 +7,25 @@
     time::Duration,
 };
 
-use tanagergauge_core::{Name, selection::SelectedEndpoint, version_selection::ProcessDoubt};
+use tanagergauge_core::{
+    Name, endpoint::EndpointInfo, selection::SelectedEndpoint, version_selection::ProcessDoubt,
+};
 use tokio::time::{Instant, sleep};
 
-use crate::{clock, connection::Connection, gateway::Gateway, request::Request};
+use crate::{
+    clock,
+    connection::Connection,
+    gateway::Gateway,
+    process_report::{self, ProcessReport},
+    request::Request,
+};
 
 /// Longest wait of a request for proof of an endpoint.
 const MAX_PROOF_WAIT: Duration = Duration::from_millis(800);
 /// Interval at which it is looked for.
 const PROOF_INTERVAL: Duration = Duration::from_millis(20);
+/// Age of the list of endpoints from which the store counts as away, in milliseconds.
+const MAX_LIST_AGE_MS: u64 = 1_500;
 /// How long a connection is held open for proof. Without the store there is none.
 const MAX_HOLD_TIME: Duration = Duration::from_secs(3);
 /// Time after a failed attempt within which no other one begins.
@@ -36,12 +46,23 @@
 /// Records that a connection to an endpoint was refused or ended, or that an answer did not come, and
 /// begins to look for proof that its process is still the same.
 pub(crate) fn record_disconnect(gateway: &Arc<Gateway>, endpoint: &Name) {
+    if !matters(gateway, endpoint) {
+        return;
+    }
     if gateway.balancer().record_disconnect(endpoint, clock::now_ms()) {
         tracing::info!(%endpoint, "another process may have taken the place of an endpoint");
         begin_search(gateway, endpoint);
     }
 }
 
+/// Whether it matters which process an endpoint has: streams of its service may be resumed.
+fn matters(gateway: &Gateway, endpoint: &Name) -> bool {
+    let Some(configuration) = gateway.configuration() else { return true };
+    let balancer = gateway.balancer();
+    let info = balancer.info(endpoint);
+    info.is_none_or(|it| configuration.has_resumable_streams(&it.service))
+}
+
 /// Records what a peer told of endpoints whose processes may have been replaced.
 pub(crate) fn merge(gateway: &Arc<Gateway>, doubts: Vec<ProcessDoubt>) {
     if doubts.is_empty() {
@@ -54,16 +75,29 @@
     }
 }
 
-/// Software version of the process that a request was sent to, once it is proven. `None` if that takes
-/// too long, or another process has taken its place.
+/// Waits until the process of an endpoint is not in doubt, or another one has taken its place, or for too long.
+pub(crate) async fn wait_without_doubt(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    endpoint: &SelectedEndpoint,
+) {
+    let wait_end = wait_end(request);
+    while gateway.balancer().proven_version(endpoint).is_none() && Instant::now() < wait_end {
+        search_at_once(gateway, [endpoint.id.clone()]).await;
+    }
+}
+
+/// Software version of the process that began a stream, on a connection that was opened at `opened_ms`, once it
+/// is shown. `None` if that takes too long, or another process has taken its place.
 pub(crate) async fn wait_for_version(
     gateway: &Arc<Gateway>,
     request: &Request,
     endpoint: &SelectedEndpoint,
+    opened_ms: u64,
 ) -> Option<Name> {
     let wait_end = wait_end(request);
     loop {
-        let version = gateway.balancer().proven_version(endpoint).cloned();
+        let version = version_on(gateway, &request.service, endpoint, opened_ms);
         if version.is_some() || Instant::now() >= wait_end {
             return version;
         }
@@ -71,6 +105,33 @@
     }
 }
 
+/// Software version of the process that a connection leads to, which was opened at `opened_ms`; `None` while it
+/// is not shown. Without the store, what does not report is taken for the process of its entry unless something
+/// hints at another one.
+pub(crate) fn version_on(
+    gateway: &Gateway,
+    service: &Name,
+    endpoint: &SelectedEndpoint,
+    opened_ms: u64,
+) -> Option<Name> {
+    let list = gateway.list_currency();
+    if let Some(version) = gateway.balancer().shown_version(endpoint, opened_ms, list) {
+        return Some(version.clone());
+    }
+    let is_store_away = clock::now_ms() > list.confirmed_ms + MAX_LIST_AGE_MS;
+    if !is_store_away || process_report::can_ask(gateway, endpoint, service) {
+        return None;
+    }
+    gateway.balancer().assumed_version(endpoint, opened_ms).cloned()
+}
+
+/// Looks for proof of an endpoint whose process nothing else will show, as the list of endpoints is old.
+pub(crate) fn search_without_store(gateway: &Arc<Gateway>, endpoint: &Name) {
+    if clock::now_ms() > gateway.list_currency().confirmed_ms + MAX_LIST_AGE_MS {
+        begin_search(gateway, endpoint);
+    }
+}
+
 /// When a request stops waiting for proof.
 pub(crate) fn wait_end(request: &Request) -> Instant {
     request.deadline.min(Instant::now() + MAX_PROOF_WAIT)
@@ -103,22 +164,56 @@
 
 /// Returns whether the endpoint's process is proven to be that of its entry.
 async fn search(gateway: &Gateway, endpoint: &Name) -> bool {
-    let address = gateway.balancer().info(endpoint).map(|it| it.address);
-    let Some(address) = address else { return false };
+    let Some(info) = gateway.balancer().info(endpoint).cloned() else { return false };
+    if process_report::can_ask(gateway, &info, &info.service)
+        && let Some(is_shown) = ask(gateway, endpoint, &info).await
+    {
+        return is_shown;
+    }
+    // Without a doubt there is nothing that a connection could end.
+    if gateway.balancer().doubted_ms(endpoint).is_none() {
+        return false;
+    }
     let accepted_ms = clock::now_ms();
-    let Ok(connection) = gateway.pool.connect(address).await else {
+    let Ok(connection) = gateway.pool.connect(info.address).await else {
         gateway.balancer().record_disconnect(endpoint, clock::now_ms());
         return false;
     };
     let is_proven = hold(gateway, endpoint, &connection, accepted_ms).await;
     if is_proven {
         let held_ms = clock::now_ms().saturating_sub(accepted_ms);
-        tracing::info!(%endpoint, held_ms, "the endpoint's process is that of its entry");
+        tracing::info!(%endpoint, evidence = "entry", held_ms, "the endpoint's process is that of its entry");
         gateway.pool.put(endpoint, connection, None);
     }
     is_proven
 }
 
+/// Asks an endpoint's process whether it is that of its entry; `None` if it does not tell.
+async fn ask(gateway: &Gateway, endpoint: &Name, info: &EndpointInfo) -> Option<bool> {
+    let Ok(connection) = gateway.pool.connect(info.address).await else {
+        gateway.balancer().record_disconnect(endpoint, clock::now_ms());
+        return Some(false);
+    };
+    let asked_ms = clock::now_ms();
+    match process_report::ask(gateway, info, connection).await {
+        ProcessReport::Same(connection) => {
+            gateway.balancer().record_process_shown(endpoint, info.incarnation, asked_ms);
+            tracing::info!(%endpoint, evidence = "report", "the endpoint's process is that of its entry");
+            if let Some(connection) = connection {
+                gateway.pool.put(endpoint, *connection, None);
+            }
+            Some(true)
+        }
+        ProcessReport::Replaced(started_unix_ms) => {
+            tracing::info!(%endpoint, started_unix_ms, "another process has taken the place of an endpoint");
+            gateway.balancer().record_disconnect(endpoint, clock::now_ms());
+            Some(false)
+        }
+        ProcessReport::Misdirected | ProcessReport::Failed => Some(false),
+        ProcessReport::Untold => None,
+    }
+}
+
 /// Holds a connection open until the process that accepted it must have written its entry.
 async fn hold(
     gateway: &Gateway,
--- a/crates/gateway/src/process_report.rs
+++ b/crates/gateway/src/process_report.rs
@@ -2,13 +2,14 @@
 
 use std::{
     collections::HashSet,
+    net::SocketAddr,
     sync::{Mutex, PoisonError},
     time::Duration,
 };
 
 use http_body_util::Full;
 use hyper::{Response, StatusCode, body::Incoming, header::HOST};
-use tanagergauge_core::{Name, selection::SelectedEndpoint};
+use tanagergauge_core::{Name, endpoint::EndpointInfo, selection::SelectedEndpoint};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -34,6 +35,27 @@
 #[derive(Debug, Default)]
 pub(crate) struct SilentProcesses(Mutex<HashSet<(Name, u64)>>);
 
+/// A process of an endpoint, as its entry describes it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ListedProcess<'a> {
+    id: &'a Name,
+    address: SocketAddr,
+    /// Start of the process as Unix milliseconds; 0 if the entry does not tell.
+    incarnation: u64,
+}
+
+impl<'a> From<&'a SelectedEndpoint> for ListedProcess<'a> {
+    fn from(it: &'a SelectedEndpoint) -> ListedProcess<'a> {
+        ListedProcess { id: &it.id, address: it.address, incarnation: it.incarnation }
+    }
+}
+
+impl<'a> From<&'a EndpointInfo> for ListedProcess<'a> {
+    fn from(it: &'a EndpointInfo) -> ListedProcess<'a> {
+        ListedProcess { id: &it.id, address: it.address, incarnation: it.incarnation }
+    }
+}
+
 /// What came of asking a process when it started.
 #[derive(Debug)]
 pub(crate) enum ProcessReport {
@@ -62,38 +84,44 @@
 }
 
 /// Whether the process of an endpoint can be asked: engines report.
-pub(crate) fn can_ask(gateway: &Gateway, endpoint: &SelectedEndpoint, service: &str) -> bool {
+pub(crate) fn can_ask<'a>(
+    gateway: &Gateway,
+    process: impl Into<ListedProcess<'a>>,
+    service: &str,
+) -> bool {
+    let process = process.into();
     let configuration = gateway.configuration();
     let is_engine =
         configuration.is_some_and(|it| it.service(service).is_some_and(|it| it.engine.is_some()));
-    is_engine && endpoint.incarnation > 0 && !gateway.silent_processes.contains(endpoint)
+    is_engine && process.incarnation > 0 && !gateway.silent_processes.contains(process)
 }
 
 /// Asks the process that accepted a connection when it started.
-pub(crate) async fn ask(
+pub(crate) async fn ask<'a>(
     gateway: &Gateway,
-    endpoint: &SelectedEndpoint,
+    process: impl Into<ListedProcess<'a>>,
     connection: Connection,
 ) -> ProcessReport {
-    let report = exchange(gateway, endpoint, connection).await;
+    let process = process.into();
+    let report = exchange(gateway, process, connection).await;
     if matches!(report, ProcessReport::Untold) {
-        gateway.silent_processes.insert(endpoint);
+        gateway.silent_processes.insert(process);
     }
     meters::process_report(report.label());
-    tracing::debug!(endpoint = %endpoint.id, report = report.label(), "process reported");
+    tracing::debug!(endpoint = %process.id, report = report.label(), "process reported");
     report
 }
 
 async fn exchange(
     gateway: &Gateway,
-    endpoint: &SelectedEndpoint,
+    process: ListedProcess<'_>,
     mut connection: Connection,
 ) -> ProcessReport {
     let deadline = Instant::now() + REPORT_TIMEOUT;
     let request = hyper::Request::builder()
         .uri(gateway.report_format.path)
-        .header(HOST, endpoint.address.to_string())
-        .header(&gateway.header_names.expected_endpoint, &*endpoint.id)
+        .header(HOST, process.address.to_string())
+        .header(&gateway.header_names.expected_endpoint, &**process.id)
         .body(Full::default());
     let Ok(request) = request else { return ProcessReport::Untold };
     connection.read_limit.await_head();
@@ -113,7 +141,7 @@
     let Some(started_unix_ms) = read_start(gateway, response, deadline).await else {
         return ProcessReport::Untold;
     };
-    if started_unix_ms != endpoint.incarnation {
+    if started_unix_ms != process.incarnation {
         return ProcessReport::Replaced(started_unix_ms);
     }
     ProcessReport::Same((!closes).then(|| Box::new(connection)))
@@ -134,16 +162,16 @@
 }
 
 impl SilentProcesses {
-    fn contains(&self, endpoint: &SelectedEndpoint) -> bool {
+    fn contains(&self, process: ListedProcess<'_>) -> bool {
         let processes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        processes.contains(&(endpoint.id.clone(), endpoint.incarnation))
+        processes.contains(&(process.id.clone(), process.incarnation))
     }
 
-    fn insert(&self, endpoint: &SelectedEndpoint) {
+    fn insert(&self, process: ListedProcess<'_>) {
         let mut processes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if processes.len() >= MAX_SILENT_PROCESSES {
             processes.clear();
         }
-        processes.insert((endpoint.id.clone(), endpoint.incarnation));
+        processes.insert((process.id.clone(), process.incarnation));
     }
 }
--- a/crates/gateway/src/relay/begun.rs
+++ b/crates/gateway/src/relay/begun.rs
@@ -1,9 +1,9 @@
 //! Records which endpoint and software version serve the events that are forwarded.
 
-use tanagergauge_core::event_order::OrderFault;
+use tanagergauge_core::{Name, event_order::OrderFault};
 
 use super::{LOG_TARGET, Relay, State};
-use crate::{continuation::display_id, take_up};
+use crate::{continuation::display_id, process_proof, take_up};
 
 impl Relay {
     /// Logs that an event of the endpoint does not follow those before it.
@@ -51,18 +51,45 @@
     }
 
     /// Records the software version at which a stream began whose first events are forwarded. It goes on
-    /// at that version only: what two versions write does not fit together. While it is not proven which
-    /// process answers, the version is unknown.
+    /// at that version only, once that is shown: what two versions write does not fit together.
+    ///
+    /// For callers who take the stream up, the version of the entry is recorded at once, as the instance may
+    /// be gone a moment later, and taken back if another process has turned out to answer.
     pub(super) fn record_begun(&mut self) {
         let State::Streaming(upstream) = &self.state else { return };
-        if !self.events.can_resume() || self.has_begun {
+        let is_known = self.has_begun && self.progress.required_version.is_some();
+        if !self.events.can_resume() || is_known {
             return;
         }
+        let (chosen, opened_ms) = (&upstream.attempt.chosen, upstream.attempt.opened_ms);
+        self.opened_ms = opened_ms;
         let required = self.progress.required_version.clone();
-        let proven = || self.gateway.balancer().proven_version(&upstream.attempt.chosen).cloned();
-        let Some(version) = required.or_else(proven) else { return };
-        self.has_begun = true;
-        take_up::record_begun(&self.gateway, &self.request, &version);
-        self.progress.required_version = Some(version);
+        let service = &self.request.service;
+        let shown = || process_proof::version_on(&self.gateway, service, chosen, opened_ms);
+        if let Some(version) = required.or_else(shown) {
+            self.record_version(&version);
+            self.progress.required_version = Some(version);
+            return;
+        }
+        process_proof::search_without_store(&self.gateway, &chosen.id);
+        let assumed = self.gateway.balancer().proven_version(chosen).cloned();
+        let is_replaced = !self.gateway.balancer().is_entry_unchanged(chosen);
+        match assumed {
+            Some(version) => self.record_version(&version),
+            None if is_replaced => self.forget_version(),
+            None => {}
+        }
+    }
+
+    fn record_version(&mut self, version: &Name) {
+        if !std::mem::replace(&mut self.has_begun, true) {
+            take_up::record_begun(&self.gateway, &self.request, version);
+        }
+    }
+
+    fn forget_version(&mut self) {
+        if std::mem::take(&mut self.has_begun) {
+            take_up::forget_begun(&self.gateway, &self.request);
+        }
     }
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -73,8 +73,10 @@
     stall: StallTimer,
     /// How often the stream was resumed.
     resumed: u32,
-    /// Events of a stream that may be resumed were forwarded.
+    /// It was recorded at which version the stream began.
     has_begun: bool,
+    /// When the connection was opened on which the events arrived; monotonic.
+    opened_ms: u64,
     /// Another endpoint was asked to go on because the stream's own was about to be taken away.
     was_moved: bool,
 }
@@ -106,6 +108,7 @@
             stall: StallTimer::new(request.deadline, event_gap_goal_ms),
             resumed: 0,
             has_begun: false,
+            opened_ms: 0,
             was_moved: false,
             gateway,
             request,
--- a/crates/gateway/src/relay/resuming.rs
+++ b/crates/gateway/src/relay/resuming.rs
@@ -44,11 +44,13 @@
         );
         let is_unknown = self.events.event_count() > 0 && progress.required_version.is_none();
         let begun_at = progress.last_choice.clone().filter(|_| is_unknown);
+        let opened_ms = self.opened_ms;
         Box::pin(async move {
             let opening = async {
                 if let Some(begun_at) = begun_at {
                     let version =
-                        process_proof::wait_for_version(&gateway, &request, &begun_at).await?;
+                        process_proof::wait_for_version(&gateway, &request, &begun_at, opened_ms)
+                            .await?;
                     progress.required_version = Some(version);
                 }
                 open_response(&gateway, &request, &mut progress, last_id.as_ref()).await.ok()
--- a/crates/gateway/src/relay/stalled.rs
+++ b/crates/gateway/src/relay/stalled.rs
@@ -18,6 +18,9 @@
                 Expired::Stall if self.try_replace(Failure::Silent) => {
                     return Poll::Ready(Step::Failed(Failure::Silent));
                 }
+                Expired::Stall if self.waits_for_version() => {
+                    self.stall.reset_for_list(Instant::now());
+                }
                 Expired::Stall | Expired::Nothing => self.stall.reset(Instant::now()),
             }
         }
@@ -37,10 +40,11 @@
     /// Secures another endpoint for a stream that has stalled or whose endpoint leaves. Returns false if it
     /// has to wait for its own.
     pub(super) fn try_replace(&mut self, failure: Failure) -> bool {
+        let knows_version = self.knows_version();
         let State::Streaming(upstream) = &self.state else { return false };
         let endpoint = &upstream.attempt.chosen;
         if self.events.can_continue()
-            && self.knows_version()
+            && knows_version
             && retry::try_replace(
                 &self.gateway,
                 &self.request,
@@ -57,9 +61,25 @@
         false
     }
 
-    /// Whether it is known which version has to go on with the stream, or any may begin it.
-    pub(super) fn knows_version(&self) -> bool {
-        self.events.event_count() == 0 || self.progress.required_version.is_some()
+    /// Whether the stream could perhaps be moved if it were known which version began it.
+    fn waits_for_version(&self) -> bool {
+        self.events.can_continue()
+            && self.events.event_count() > 0
+            && self.progress.required_version.is_none()
+    }
+
+    /// Whether it is known which version has to go on with the stream, or any may begin it. If not, a list of
+    /// endpoints that may tell it is read.
+    fn knows_version(&mut self) -> bool {
+        if self.events.event_count() == 0 {
+            return true;
+        }
+        self.record_begun();
+        let is_known = self.progress.required_version.is_some();
+        if !is_known {
+            self.gateway.list_wanted.notify_one();
+        }
+        is_known
     }
 
     /// Records that bytes became forwardable. An endpoint that goes on after a stall is sound.
--- a/crates/gateway/src/retry/mod.rs
+++ b/crates/gateway/src/retry/mod.rs
@@ -188,7 +188,7 @@
         };
         if last_event_id.is_some() {
             // An endpoint that is asked again may be chosen although its process is not proven.
-            process_proof::wait_for_version(gateway, request, &chosen).await;
+            process_proof::wait_without_doubt(gateway, request, &chosen).await;
         }
         progress.last_choice = Some(chosen.clone());
         progress.set_framing(None);
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -16,6 +16,8 @@
 const STALL_TIMEOUT_GAP_FACTOR: u32 = 5;
 /// Minimum of that time.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Interval at which a list of endpoints is looked for that a stalled stream waits for.
+const LIST_INTERVAL: Duration = Duration::from_millis(40);
 
 /// The time since a stream last sent an event, and the timer that watches it.
 pub(crate) struct StallTimer {
@@ -80,6 +82,11 @@
         self.timer.as_mut().reset(at);
     }
 
+    /// Sets the timer to when a list of endpoints may have been read that was asked for.
+    pub(crate) fn reset_for_list(&mut self, now: Instant) {
+        self.timer.as_mut().reset(self.deadline.min(now + LIST_INTERVAL));
+    }
+
     /// Records that bytes became forwardable; returns whether the endpoint was overdue until then.
     pub(crate) fn record_data(&mut self) -> bool {
         let was_overdue = self.overdue_since == Some(self.last_data);
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -156,6 +156,14 @@
     }
 }
 
+/// Takes back what [`record_begun`] recorded. Peers that were told keep it.
+pub(crate) fn forget_begun(gateway: &Gateway, request: &Request) {
+    let resumes = request.take_up.as_ref().and_then(|it| it.resumes.as_ref());
+    for id in [&request.id].into_iter().chain(resumes) {
+        gateway.begun_streams().forget(stream_key(request, id));
+    }
+}
+
 fn stream_key(request: &Request, id: &str) -> StreamKey {
     let account = request.account.as_ref().map_or("", |it| &*it.name);
     StreamKey::new(account, &request.service, id)
