End a doubt about a process by what it reports or repeats, before its entry that nobody could write

Streams went on over a new connection at engines that had been replaced unnoticed, too. Cause: a process that accepts connections was taken to have written its entry within 0.4 s, also where it can't. Change: engines are asked for their start, and a stream goes on over a connection that isn't shown only after that. Where entries are repeated regularly, as a store may show, a later repetition is waited for. The 0.4 s remain for what does neither. Core: 16 new cases.

--- a/crates/core/src/process_identity.rs
+++ b/crates/core/src/process_identity.rs
@@ -15,6 +15,12 @@
 /// milliseconds. They repeat them with each heartbeat, 1.2 s apart.
 pub const ENTRY_WRITTEN_AGAIN_MS: u64 = 2_000;
 
+/// Repeated entries after which an endpoint is taken to repeat its entry as long as it runs.
+const MIN_REPEATS: u32 = 2;
+/// Time without another one after which it is not taken to do so any more, in milliseconds. Entries whose
+/// endpoints are gone are removed before.
+const REPEATS_MEMORY_MS: u64 = 6_000;
+
 /// By how much the time of a disconnect may seem later at a peer, in milliseconds.
 const MAX_TOLD_LATE_MS: u64 = 300;
 
@@ -50,6 +56,31 @@
     /// When the entry's process was last shown to be there after a doubt. What is told later of an
     /// earlier time raises no doubt.
     shown_ms: u64,
+    repeats: EntryRepeats,
+}
+
+/// How an endpoint repeats its entry. Where the store shows that, silence is a sign too.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct EntryRepeats {
+    /// Repetitions of the process's entry.
+    count: u32,
+    /// Number of the newest one.
+    sequence: u64,
+    /// When it was read; monotonic.
+    read_ms: u64,
+}
+
+impl EntryRepeats {
+    fn are_regular(self, now_ms: u64) -> bool {
+        self.count >= MIN_REPEATS && now_ms.saturating_sub(self.read_ms) < REPEATS_MEMORY_MS
+    }
+}
+
+/// The number of the entry at a time after a connection was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Baseline {
+    accepted_ms: u64,
+    sequence: u64,
 }
 
 /// Another process may have taken the place of the one that the entry describes.
@@ -60,6 +91,8 @@
     since_ms: u64,
     /// When a connection was last refused or ended.
     latest_ms: u64,
+    /// Present while a newer entry is waited for.
+    baseline: Option<Baseline>,
 }
 
 impl ProcessIdentity {
@@ -71,7 +104,7 @@
         }
         let since_ms = self.doubt.map_or(at_ms, |it| it.since_ms.min(at_ms));
         let latest_ms = self.doubt.map_or(at_ms, |it| it.latest_ms.max(at_ms));
-        self.doubt.replace(Doubt { since_ms, latest_ms }).is_none()
+        self.doubt.replace(Doubt { since_ms, latest_ms, baseline: None }).is_none()
     }
 
     /// As [`ProcessIdentity::record_disconnect`], for what a peer told. It may tell again what it heard from
@@ -81,9 +114,18 @@
         !is_known && self.record_disconnect(at_ms)
     }
 
+    /// Records that the entry was read again, with nothing new but its number.
+    pub fn record_repeat(&mut self, sequence: u64, now_ms: u64) {
+        if sequence > self.repeats.sequence {
+            let count = self.repeats.count.saturating_add(1);
+            self.repeats = EntryRepeats { count, sequence, read_ms: now_ms };
+        }
+    }
+
     /// Records that the entry describes another process than before. A doubt stays, and no open
     /// connection tells of that process.
     pub fn record_restart(&mut self) {
+        self.repeats = EntryRepeats::default();
         if let Some(doubt) = &mut self.doubt {
             doubt.since_ms = 0;
         }
@@ -93,12 +135,18 @@
     /// `opened_ms`.
     pub fn record_answer(&mut self, opened_ms: u64, sent_ms: u64) {
         if self.doubt.is_some_and(|it| opened_ms < it.since_ms && sent_ms > it.latest_ms) {
-            *self = ProcessIdentity { doubt: None, shown_ms: sent_ms };
+            self.end_doubt(sent_ms);
         }
     }
 
+    fn end_doubt(&mut self, shown_ms: u64) {
+        self.doubt = None;
+        self.shown_ms = shown_ms;
+    }
+
     /// Ends the doubt if the process that accepted a connection at `accepted_ms`, which is still open,
-    /// must have written its entry by now. Returns whether the identity is proven.
+    /// must have written its entry by now; if the endpoint repeats its entry, once it has done so after that.
+    /// Returns whether the identity is proven.
     pub fn record_unchanged_entry(
         &mut self,
         accepted_ms: u64,
@@ -106,12 +154,30 @@
         now_ms: u64,
     ) -> bool {
         let is_later = self.doubt.is_some_and(|it| accepted_ms >= it.latest_ms);
-        if is_later && list.shows_entry_of(accepted_ms) {
-            *self = ProcessIdentity { doubt: None, shown_ms: now_ms };
+        let is_written = match self.repeats.are_regular(now_ms) {
+            true => self.is_repeated_after(accepted_ms, list),
+            false => true,
+        };
+        if is_later && is_written && list.shows_entry_of(accepted_ms) {
+            self.end_doubt(now_ms);
         }
         self.is_proven()
     }
 
+    /// Whether the entry was repeated after a list that was current once a connection was accepted.
+    fn is_repeated_after(&mut self, accepted_ms: u64, list: ListCurrency) -> bool {
+        let sequence = self.repeats.sequence;
+        let Some(doubt) = &mut self.doubt else { return true };
+        match doubt.baseline.filter(|it| it.accepted_ms == accepted_ms) {
+            Some(baseline) => sequence > baseline.sequence,
+            None => {
+                let is_current = list.confirmed_ms >= accepted_ms;
+                doubt.baseline = is_current.then_some(Baseline { accepted_ms, sequence });
+                false
+            }
+        }
+    }
+
     /// Records that the process which answered at `asked_ms` is that of the entry, by its own report.
     pub fn record_shown(&mut self, asked_ms: u64) {
         if self.doubt.is_none_or(|it| asked_ms > it.latest_ms) {
--- a/crates/core/src/version_selection.rs
+++ b/crates/core/src/version_selection.rs
@@ -100,6 +100,13 @@
         }
     }
 
+    /// Records that an endpoint's entry was read again, with nothing new but its number.
+    pub fn record_repeated_entry(&mut self, id: &str, sequence: u64, now_ms: u64) {
+        if let Some(it) = self.endpoints.get_mut(id) {
+            it.process.record_repeat(sequence, now_ms);
+        }
+    }
+
     /// Whether the entry by which an endpoint was selected is still in force.
     pub fn is_entry_unchanged(&self, selected: &SelectedEndpoint) -> bool {
         self.entry_of(selected).is_some()
--- a/crates/core/tests/process_identity.rs
+++ b/crates/core/tests/process_identity.rs
@@ -47,11 +47,81 @@
     an_entry_right_after_the_store_was_away_is_no_proof:
         it, it.record_unchanged_entry(
             DOUBT_MS, list(WRITTEN_MS + 9, WRITTEN_MS + 10 - ENTRY_WRITTEN_AGAIN_MS), WRITTEN_MS) => false;
+    a_report_of_later_is: it, it.record_shown(DOUBT_MS + 1) => true;
+    a_report_of_before_is_not: it, it.record_shown(DOUBT_MS) => false;
+    an_entry_that_is_repeated_is_no_proof_by_itself:
+        it, { repeat(&mut it); it.record_unchanged_entry(DOUBT_MS, list(WRITTEN_MS, 0), WRITTEN_MS) } => false;
+    an_entry_that_is_not_repeated_any_more_is_none:
+        it, { repeat(&mut it); wait(&mut it, DOUBT_MS, 5_000); } => false;
+    an_entry_that_is_repeated_later_is:
+        it, {
+            repeat(&mut it);
+            wait(&mut it, DOUBT_MS, 100);
+            it.record_repeat(4, WRITTEN_MS + 100);
+            wait(&mut it, DOUBT_MS, 200);
+        } => true;
+    an_entry_that_is_repeated_before_the_next_connection_is_not:
+        it, {
+            repeat(&mut it);
+            wait(&mut it, DOUBT_MS, 100);
+            it.record_repeat(4, WRITTEN_MS + 100);
+            wait(&mut it, DOUBT_MS + 150, 600);
+        } => false;
+    an_entry_whose_number_falls_back_is_not:
+        it, {
+            repeat(&mut it);
+            wait(&mut it, DOUBT_MS, 100);
+            it.record_repeat(3, WRITTEN_MS + 100);
+            wait(&mut it, DOUBT_MS, 200);
+        } => false;
+    an_entry_that_was_repeated_long_ago_is_proof_as_others:
+        it, { repeat(&mut it); wait(&mut it, DOUBT_MS, 6_000); } => true;
+    an_entry_of_a_process_that_started_later_is_proof_as_others:
+        it, { repeat(&mut it); it.record_restart(); wait(&mut it, DOUBT_MS, 100); } => true;
     an_entry_later_is:
         it, it.record_unchanged_entry(
             DOUBT_MS, list(WRITTEN_MS + 10, WRITTEN_MS + 10 - ENTRY_WRITTEN_AGAIN_MS), WRITTEN_MS) => true;
 }
 
+/// The entry has been repeated every 1.2 s until the doubt.
+fn repeat(identity: &mut ProcessIdentity) {
+    for sequence in 1..=3 {
+        identity.record_repeat(sequence, DOUBT_MS - 1_200 * (3 - sequence));
+    }
+}
+
+/// Looks at the entry by a connection, with a current list, until a time after [`WRITTEN_MS`].
+fn wait(identity: &mut ProcessIdentity, accepted_ms: u64, until_ms: u64) {
+    for now_ms in (WRITTEN_MS..=WRITTEN_MS + until_ms).step_by(20) {
+        identity.record_unchanged_entry(accepted_ms, list(now_ms, 0), now_ms);
+    }
+}
+
+macro_rules! connections {
+    ($($name:ident: $identity:expr, $opened_ms:expr, $list_ms:expr => $is_shown:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!($identity.is_shown_on($opened_ms, list($list_ms, 0)), $is_shown);
+        }
+    )*};
+}
+
+fn shown(at_ms: u64) -> ProcessIdentity {
+    let mut identity = ProcessIdentity::default();
+    identity.record_shown(at_ms);
+    identity
+}
+
+connections! {
+    a_new_connection_shows_nothing: ProcessIdentity::default(), 1_000, 1_000 => false;
+    a_list_shows_the_process_of_a_connection: ProcessIdentity::default(), 1_000, 1_000 + ENTRY_WRITTEN_MS => true;
+    a_list_in_between_does_not: ProcessIdentity::default(), 1_000, 999 + ENTRY_WRITTEN_MS => false;
+    a_report_shows_the_process_of_older_connections: shown(2_000), 2_000, 0 => true;
+    a_report_shows_nothing_of_later_ones: shown(2_000), 2_001, 0 => false;
+    a_connection_of_before_a_doubt_is_shown_by_a_list: doubted(), DOUBT_MS - 1, WRITTEN_MS => true;
+    a_connection_of_after_a_doubt_is_not: doubted(), DOUBT_MS, WRITTEN_MS => false;
+}
+
 #[test]
 fn what_is_told_late_raises_no_doubt_again() {
     let mut identity = doubted();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
     event_gaps::EventGaps,
     gateway::Gateway,
     liveness, process_proof,
+    process_report::{self, ProcessReport},
     request::Request,
     suspects, upstream_request,
     upstream_response::{self, Origin},
@@ -274,22 +275,15 @@
     attempt: &mut Attempt,
     last_event_id: Option<&Bytes>,
 ) -> Result<(response::Parts, Incoming), Failure> {
-    let retryable = request.route.retry_safety.allows_resend();
-    let (id, address) = (&attempt.chosen.id, attempt.chosen.address);
-    let pooled = gateway.pool.take(id, address, retryable, Some(&request.id));
-    if pooled.found_closed {
-        process_proof::record_disconnect(gateway, id);
-    }
-    let (mut connection, mut reused) = match pooled.connection {
+    let (mut connection, mut reused) = match take_idle(gateway, request, &attempt.chosen) {
         Some(connection) => (connection, true),
         None => (connect(gateway, attempt).await?, false),
     };
     let mut message = upstream_request::build(gateway, request, &attempt.chosen, last_event_id);
     let goes_on = request.take_up.is_some() || last_event_id.is_some();
     let (response, sent_ms) = loop {
-        let opened_ms = connection.opened_ms;
-        if goes_on && !gateway.balancer().is_reached_by(&attempt.chosen, opened_ms) {
-            return Err(Failure::Unproven);
+        if goes_on {
+            connection = require_process(gateway, request, attempt, connection).await?;
         }
         let sent_ms = clock::now_ms();
         connection.read_limit.await_head();
@@ -358,6 +352,58 @@
     );
 }
 
+/// An idle connection to the chosen endpoint, if there is one.
+fn take_idle(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    chosen: &SelectedEndpoint,
+) -> Option<Connection> {
+    let retryable = request.route.retry_safety.allows_resend();
+    let pooled = gateway.pool.take(&chosen.id, chosen.address, retryable, Some(&request.id));
+    if pooled.found_closed {
+        process_proof::record_disconnect(gateway, &chosen.id);
+    }
+    pooled.connection
+}
+
+/// Requires that a connection leads to the process of the endpoint's entry, before a stream goes on there. An
+/// engine is asked if that is not shown; of others it is assumed unless something hints at another process.
+async fn require_process(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    attempt: &mut Attempt,
+    connection: Connection,
+) -> Result<Connection, Failure> {
+    let chosen = &attempt.chosen;
+    let (opened_ms, list) = (connection.opened_ms, gateway.list_currency());
+    if !gateway.balancer().is_reached_by(chosen, opened_ms) {
+        return Err(Failure::Unproven);
+    }
+    let is_shown = gateway.balancer().shown_version(chosen, opened_ms, list).is_some();
+    if is_shown || !process_report::can_ask(gateway, chosen, &request.service) {
+        return Ok(connection);
+    }
+    let asked_ms = clock::now_ms();
+    match process_report::ask(gateway, chosen, connection).await {
+        ProcessReport::Same(connection) => {
+            gateway.balancer().record_process_shown(&chosen.id, chosen.incarnation, asked_ms);
+            match connection {
+                Some(connection) => Ok(*connection),
+                None => connect(gateway, attempt).await,
+            }
+        }
+        ProcessReport::Replaced(started_unix_ms) => {
+            let endpoint = &chosen.id;
+            tracing::info!(%endpoint, started_unix_ms, "another process has taken the place of an endpoint");
+            process_proof::record_disconnect(gateway, endpoint);
+            Err(Failure::Unproven)
+        }
+        ProcessReport::Misdirected => Err(Failure::Replaced),
+        ProcessReport::Untold => connect(gateway, attempt).await,
+        ProcessReport::Failed => Err(Failure::Unproven),
+    }
+}
+
 async fn connect(gateway: &Gateway, attempt: &mut Attempt) -> Result<Connection, Failure> {
     let begin = Instant::now();
     let connected = gateway.pool.connect(attempt.chosen.address).await;
--- a/crates/gateway/src/view/endpoint.rs
+++ b/crates/gateway/src/view/endpoint.rs
@@ -44,6 +44,7 @@
                     Some(it) => gateway.departures.record(key, entry.incarnation, it),
                     None => gateway.departures.remove(key),
                 }
+                let sequence = entry.report_sequence;
                 let info = endpoint_info(gateway, key, entry);
                 let (leaving, service) = (info.leaving, info.service.clone());
                 let software_version = info.software_version.clone();
@@ -54,6 +55,8 @@
                 let changed = gateway.balancer().upsert(info);
                 if changed {
                     peers::record_listed(gateway, &service, &software_version);
+                } else {
+                    gateway.balancer().record_repeated_entry(key, sequence, clock::now_ms());
                 }
                 match report {
                     ChangeReport::Each if changed => {
