Ask an engine for its process only when something depends on it

Change: an engine that has reported before is asked on the connection over which a stream goes on, or when a stream begins there while its process is in doubt; it stays eligible meanwhile. What doesn't report is searched for as before.

--- a/crates/core/src/process_identity.rs
+++ b/crates/core/src/process_identity.rs
@@ -57,6 +57,8 @@
     /// earlier time raises no doubt.
     shown_ms: u64,
     repeats: EntryRepeats,
+    /// The process has reported that it is that of the entry, and can be asked again.
+    reports: bool,
 }
 
 /// How an endpoint repeats its entry. Where the store shows that, silence is a sign too.
@@ -126,6 +128,7 @@
     /// connection tells of that process.
     pub fn record_restart(&mut self) {
         self.repeats = EntryRepeats::default();
+        self.reports = false;
         if let Some(doubt) = &mut self.doubt {
             doubt.since_ms = 0;
         }
@@ -180,6 +183,7 @@
 
     /// Records that the process which answered at `asked_ms` is that of the entry, by its own report.
     pub fn record_shown(&mut self, asked_ms: u64) {
+        self.reports = true;
         if self.doubt.is_none_or(|it| asked_ms > it.latest_ms) {
             self.doubt = None;
             self.shown_ms = self.shown_ms.max(asked_ms);
@@ -191,6 +195,11 @@
         self.doubt.is_none()
     }
 
+    /// Whether the process can be asked, as it has reported before.
+    pub fn reports(&self) -> bool {
+        self.reports
+    }
+
     /// Whether a connection that was opened at `opened_ms` is shown to lead to the entry's process: that was
     /// shown later, or the process which accepted it must have written its entry by the time of the list.
     pub fn is_shown_on(&self, opened_ms: u64, list: ListCurrency) -> bool {
--- a/crates/core/src/version_selection.rs
+++ b/crates/core/src/version_selection.rs
@@ -30,7 +30,7 @@
     }
 
     /// Those of the endpoints that have the required software version. Only endpoints whose process is
-    /// proven to be that of the entry go on with a stream.
+    /// proven to be that of the entry go on with a stream, or that can be asked before they get it.
     pub(crate) fn of_required_version<'a>(
         &self,
         query: &EndpointQuery<'_>,
@@ -39,7 +39,7 @@
         let Some(version) = query.software_version else { return Ok(untried.to_vec()) };
         let of_version = untried.iter().filter(|it| it.info.software_version == *version);
         let (proven, unproven): (Vec<&Endpoint>, Vec<&Endpoint>) =
-            of_version.partition(|it| it.process.is_proven());
+            of_version.partition(|it| may_go_on(it));
         if !proven.is_empty() {
             return Ok(proven);
         }
@@ -60,9 +60,7 @@
     /// Endpoints of a service and version whose process is not proven to be that of the entry.
     pub fn unproven(&self, service: &Name, version: &Name) -> Vec<Name> {
         let is_unproven = |it: &&Endpoint| {
-            it.info.service == *service
-                && it.info.software_version == *version
-                && !it.process.is_proven()
+            it.info.service == *service && it.info.software_version == *version && !may_go_on(it)
         };
         self.endpoints.values().filter(is_unproven).map(|it| it.info.id.clone()).collect()
     }
@@ -164,9 +162,14 @@
         self.entry_of(selected).is_some_and(|it| it.process.is_reached_by(opened_ms))
     }
 
-    /// Number of listed endpoints whose process is not proven to be that of the entry.
+    /// Whether an endpoint's process has reported that it is that of the entry, and can be asked again.
+    pub fn reports(&self, id: &str) -> bool {
+        self.endpoints.get(id).is_some_and(|it| it.process.reports())
+    }
+
+    /// Number of listed endpoints whose process is not proven to be that of the entry, and can't be asked.
     pub fn unproven_count(&self) -> usize {
-        self.endpoints.values().filter(|it| !it.process.is_proven()).count()
+        self.endpoints.values().filter(|it| !may_go_on(it)).count()
     }
 
     /// Recent doubts, for peers.
@@ -192,3 +195,8 @@
         new
     }
 }
+
+/// Whether an endpoint may be chosen to go on with a stream.
+fn may_go_on(endpoint: &Endpoint) -> bool {
+    endpoint.process.is_proven() || endpoint.process.reports()
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -376,13 +376,13 @@
 ) -> Result<Connection, Failure> {
     let chosen = &attempt.chosen;
     let (opened_ms, list) = (connection.opened_ms, gateway.list_currency());
-    if !gateway.balancer().is_reached_by(chosen, opened_ms) {
-        return Err(Failure::Unproven);
-    }
-    let is_shown = gateway.balancer().shown_version(chosen, opened_ms, list).is_some();
-    if is_shown || !process_report::can_ask(gateway, chosen, &request.service) {
+    if gateway.balancer().shown_version(chosen, opened_ms, list).is_some() {
         return Ok(connection);
     }
+    if !process_report::can_ask(gateway, chosen, &request.service) {
+        let is_reached = gateway.balancer().is_reached_by(chosen, opened_ms);
+        return if is_reached { Ok(connection) } else { Err(Failure::Unproven) };
+    }
     let asked_ms = clock::now_ms();
     match process_report::ask(gateway, chosen, connection).await {
         ProcessReport::Same(connection) => {
--- a/crates/gateway/src/process_proof.rs
+++ b/crates/gateway/src/process_proof.rs
@@ -51,7 +51,7 @@
     }
     if gateway.balancer().record_disconnect(endpoint, clock::now_ms()) {
         tracing::info!(%endpoint, "another process may have taken the place of an endpoint");
-        begin_search(gateway, endpoint);
+        search_unless_asked(gateway, endpoint);
     }
 }
 
@@ -71,16 +71,20 @@
     let new = gateway.balancer().merge_process_doubts(doubts, clock::now_ms());
     for endpoint in new {
         tracing::info!(%endpoint, "a peer tells that another process may have taken the place of an endpoint");
-        begin_search(gateway, &endpoint);
+        search_unless_asked(gateway, &endpoint);
     }
 }
 
 /// Waits until the process of an endpoint is not in doubt, or another one has taken its place, or for too long.
+/// One that reports is asked on the connection that is used.
 pub(crate) async fn wait_without_doubt(
     gateway: &Arc<Gateway>,
     request: &Request,
     endpoint: &SelectedEndpoint,
 ) {
+    if gateway.balancer().reports(&endpoint.id) {
+        return;
+    }
     let wait_end = wait_end(request);
     while gateway.balancer().proven_version(endpoint).is_none() && Instant::now() < wait_end {
         search_at_once(gateway, [endpoint.id.clone()]).await;
@@ -118,20 +122,26 @@
     if let Some(version) = gateway.balancer().shown_version(endpoint, opened_ms, list) {
         return Some(version.clone());
     }
-    let is_store_away = clock::now_ms() > list.confirmed_ms + MAX_LIST_AGE_MS;
-    if !is_store_away || process_report::can_ask(gateway, endpoint, service) {
+    if !is_list_old(gateway) || process_report::can_ask(gateway, endpoint, service) {
         return None;
     }
     gateway.balancer().assumed_version(endpoint, opened_ms).cloned()
 }
 
-/// Looks for proof of an endpoint whose process nothing else will show, as the list of endpoints is old.
-pub(crate) fn search_without_store(gateway: &Arc<Gateway>, endpoint: &Name) {
-    if clock::now_ms() > gateway.list_currency().confirmed_ms + MAX_LIST_AGE_MS {
+/// Looks for proof of an endpoint at which a stream has begun, if its process is in doubt or nothing else will
+/// show it, as the list of endpoints is old.
+pub(crate) fn search_for_begun(gateway: &Arc<Gateway>, endpoint: &Name) {
+    let is_doubted = gateway.balancer().doubted_ms(endpoint).is_some();
+    if is_doubted || is_list_old(gateway) {
         begin_search(gateway, endpoint);
     }
 }
 
+/// Whether the list of endpoints is so old that the store counts as away.
+fn is_list_old(gateway: &Gateway) -> bool {
+    clock::now_ms() > gateway.list_currency().confirmed_ms + MAX_LIST_AGE_MS
+}
+
 /// When a request stops waiting for proof.
 pub(crate) fn wait_end(request: &Request) -> Instant {
     request.deadline.min(Instant::now() + MAX_PROOF_WAIT)
@@ -149,6 +159,14 @@
     sleep(PROOF_INTERVAL).await;
 }
 
+/// Looks for proof of an endpoint, unless its process reports: that is asked when something depends on it.
+fn search_unless_asked(gateway: &Arc<Gateway>, endpoint: &Name) {
+    let reports = gateway.balancer().reports(endpoint);
+    if !reports {
+        begin_search(gateway, endpoint);
+    }
+}
+
 /// Looks for proof of an endpoint in the background, unless that is being done.
 fn begin_search(gateway: &Arc<Gateway>, endpoint: &Name) {
     if gateway.proof_searches.lock().insert(endpoint.clone()) {
@@ -165,13 +183,17 @@
 /// Returns whether the endpoint's process is proven to be that of its entry.
 async fn search(gateway: &Gateway, endpoint: &Name) -> bool {
     let Some(info) = gateway.balancer().info(endpoint).cloned() else { return false };
+    let is_doubted = gateway.balancer().doubted_ms(endpoint).is_some();
+    // Without a doubt, a current list shows the process at no cost.
+    if !is_doubted && !is_list_old(gateway) {
+        return false;
+    }
     if process_report::can_ask(gateway, &info, &info.service)
         && let Some(is_shown) = ask(gateway, endpoint, &info).await
     {
         return is_shown;
     }
-    // Without a doubt there is nothing that a connection could end.
-    if gateway.balancer().doubted_ms(endpoint).is_none() {
+    if !is_doubted {
         return false;
     }
     let accepted_ms = clock::now_ms();
