Cut no answer whose server reads a long request only later

Cause: TCP_USER_TIMEOUT of 2.5 s ends a connection whose peer's window stays closed, also while its host acknowledges every probe and it sends. It is meant for peers that are gone. Change: once bytes of an answer have come to a request of over 16 KiB, the socket waits until the next request; keep-alive probes still find a host that is gone once all is acknowledged, and the request's deadline and the silence of streams hold. A body that isn't read for 3 s before any answer stays red (`unread_body`).

--- a/crates/gateway/src/endpoint_stream.rs
+++ b/crates/gateway/src/endpoint_stream.rs
@@ -21,8 +21,12 @@
 
 use tanagergauge_core::head_scanner::HeadScanner;
 
+use crate::socket;
+
 /// Maximum number of bytes that are read up to the head of a response, with what follows it at once.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Bytes of a request that an endpoint's host takes at once. It may read a longer one after its answer.
+const MAX_UNREAD_BYTES: usize = 16 << 10;
 /// What may be read while no head is awaited.
 const UNLIMITED_BYTES: usize = usize::MAX;
 
@@ -78,6 +82,12 @@
     scanned_heads: usize,
     /// Whether bytes that were to be written are not, since the socket took fewer or failed.
     is_write_unfinished: bool,
+    /// [`ReadLimit::awaited_heads`] of the request that is being written.
+    request: usize,
+    /// Bytes of it that were written.
+    request_bytes: usize,
+    /// The socket waits for as long as the endpoint does not read.
+    is_patient: bool,
 }
 
 impl EndpointStream {
@@ -88,6 +98,32 @@
             scanner: None,
             scanned_heads: 0,
             is_write_unfinished: false,
+            request: 0,
+            request_bytes: 0,
+            is_patient: false,
+        }
+    }
+
+    /// Begins to count the bytes of a request if it is another one than before.
+    fn begin_write(&mut self) {
+        let request = self.limit.awaited_heads.load(Ordering::Relaxed);
+        if self.request != request {
+            self.request = request;
+            self.request_bytes = 0;
+            self.set_patient(false);
+        }
+    }
+
+    /// An endpoint that has begun to answer is there, also while it does not read the rest of a long request.
+    fn record_answer(&mut self) {
+        if self.request_bytes > MAX_UNREAD_BYTES {
+            self.set_patient(true);
+        }
+    }
+
+    fn set_patient(&mut self, is_patient: bool) {
+        if self.is_patient != is_patient && socket::set_patient(&self.stream, is_patient).is_ok() {
+            self.is_patient = is_patient;
         }
     }
 
@@ -95,6 +131,9 @@
     fn record_write(&mut self, written: &Poll<io::Result<usize>>, offered_bytes: usize) {
         self.is_write_unfinished =
             !matches!(written, Poll::Ready(Ok(bytes)) if *bytes == offered_bytes);
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.request_bytes += bytes;
+        }
     }
 
     /// Checks bytes that were read, as far as they belong to the head that is awaited.
@@ -129,6 +168,9 @@
             let message = "the connection ended before the request was written";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionReset, message)));
         }
+        if buffer.filled().len() > before {
+            self.record_answer();
+        }
         self.limit.record_read(buffer.filled().len() - before);
         Poll::Ready(self.scan(&buffer.filled()[before..]))
     }
@@ -140,6 +182,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.begin_write();
         let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
         self.record_write(&written, bytes.len());
         written
@@ -150,6 +193,7 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.begin_write();
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
         self.record_write(&written, slices.iter().map(|it| it.len()).sum());
         written
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -40,6 +40,13 @@
     socket.listen(BACKLOG)
 }
 
+/// Whether a connection outlasts that its peer does not read for longer than [`USER_TIMEOUT`], although its host
+/// responds. Keep-alive probes go on once everything is acknowledged.
+pub(crate) fn set_patient(stream: &TcpStream, is_patient: bool) -> io::Result<()> {
+    let timeout = (!is_patient).then_some(USER_TIMEOUT);
+    SockRef::from(stream).set_tcp_user_timeout(timeout)
+}
+
 /// Disables Nagle's algorithm and sets the time-outs of a connection.
 pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
