One place for what a process's report shows; no guess about a stream where the process will tell

Cause: three callers recorded and logged the same report, and a process that had reported to be another one was asked again every 100 ms. While the store is away, a stream was recorded by its entry although its engine was being asked. Change: `process_report::ask` records and logs; a search waits for a second after such a report; without a list, an engine's answer comes before the record. Doubts that peers tell of services whose streams can't be resumed are passed over.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -383,23 +383,14 @@
         let is_reached = gateway.balancer().is_reached_by(chosen, opened_ms);
         return if is_reached { Ok(connection) } else { Err(Failure::Unproven) };
     }
-    let asked_ms = clock::now_ms();
     match process_report::ask(gateway, chosen, connection).await {
-        ProcessReport::Same(connection) => {
-            gateway.balancer().record_process_shown(&chosen.id, chosen.incarnation, asked_ms);
-            match connection {
-                Some(connection) => Ok(*connection),
-                None => connect(gateway, attempt).await,
-            }
-        }
-        ProcessReport::Replaced(started_unix_ms) => {
-            let endpoint = &chosen.id;
-            tracing::info!(%endpoint, started_unix_ms, "another process has taken the place of an endpoint");
-            process_proof::record_disconnect(gateway, endpoint);
+        ProcessReport::Same(Some(connection)) => Ok(*connection),
+        ProcessReport::Same(None) | ProcessReport::Untold => connect(gateway, attempt).await,
+        ProcessReport::Replaced(_) => {
+            process_proof::record_disconnect(gateway, &chosen.id);
             Err(Failure::Unproven)
         }
         ProcessReport::Misdirected => Err(Failure::Replaced),
-        ProcessReport::Untold => connect(gateway, attempt).await,
         ProcessReport::Failed => Err(Failure::Unproven),
     }
 }
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -38,7 +38,6 @@
 const MAX_HEALTH_BYTES: u64 = 4 << 10;
 /// Maximum number of connections opened to find out whether an endpoint is there.
 const MAX_PRESENCE_CHECKS: usize = 3;
-
 /// Longest wait for a list of endpoints by which a process must have written its entry.
 const ENTRY_WAIT: Duration = Duration::from_secs(1);
 /// Interval at which the list is looked at meanwhile.
@@ -105,13 +104,7 @@
         return false;
     }
     match presence {
-        Presence::Shown(connection) => {
-            if let Some(connection) = connection {
-                gateway.pool.put(&endpoint.id, *connection, None);
-            }
-            true
-        }
-        Presence::Present(connection) => {
+        Presence::Shown(connection) | Presence::Present(connection) => {
             if let Some(connection) = connection {
                 gateway.pool.put(&endpoint.id, *connection, None);
             }
@@ -162,18 +155,9 @@
         Ok(connection) => connection,
         Err(failure) => return Some(Presence::of_failure(failure)),
     };
-    let asked_ms = clock::now_ms();
     match process_report::ask(gateway, endpoint, connection).await {
-        ProcessReport::Same(connection) => {
-            let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
-            gateway.balancer().record_process_shown(id, incarnation, asked_ms);
-            Some(Presence::Shown(connection))
-        }
-        ProcessReport::Replaced(started_unix_ms) => {
-            tracing::info!(endpoint = %endpoint.id, started_unix_ms, "another process has taken the place of an endpoint");
-            Some(Presence::Gone)
-        }
-        ProcessReport::Misdirected => Some(Presence::Gone),
+        ProcessReport::Same(connection) => Some(Presence::Shown(connection)),
+        ProcessReport::Replaced(_) | ProcessReport::Misdirected => Some(Presence::Gone),
         ProcessReport::Untold | ProcessReport::Failed => None,
     }
 }
--- a/crates/gateway/src/process_proof.rs
+++ b/crates/gateway/src/process_proof.rs
@@ -30,6 +30,8 @@
 const MAX_HOLD_TIME: Duration = Duration::from_secs(3);
 /// Time after a failed attempt within which no other one begins.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// The same once another process has reported: it has still to write its entry.
+const REPLACED_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Endpoints for which proof is being looked for.
 #[derive(Debug, Default)]
@@ -64,7 +66,8 @@
 }
 
 /// Records what a peer told of endpoints whose processes may have been replaced.
-pub(crate) fn merge(gateway: &Arc<Gateway>, doubts: Vec<ProcessDoubt>) {
+pub(crate) fn merge(gateway: &Arc<Gateway>, mut doubts: Vec<ProcessDoubt>) {
+    doubts.retain(|it| matters(gateway, &it.endpoint));
     if doubts.is_empty() {
         return;
     }
@@ -128,13 +131,20 @@
     gateway.balancer().assumed_version(endpoint, opened_ms).cloned()
 }
 
-/// Looks for proof of an endpoint at which a stream has begun, if its process is in doubt or nothing else will
-/// show it, as the list of endpoints is old.
-pub(crate) fn search_for_begun(gateway: &Arc<Gateway>, endpoint: &Name) {
-    let is_doubted = gateway.balancer().doubted_ms(endpoint).is_some();
-    if is_doubted || is_list_old(gateway) {
-        begin_search(gateway, endpoint);
+/// Software version at which a stream has begun, by the endpoint's entry alone; `None` if its process is in doubt,
+/// or will tell at once: it is asked where no list will show it, as the store is away.
+pub(crate) fn assume_begun(
+    gateway: &Arc<Gateway>,
+    service: &Name,
+    endpoint: &SelectedEndpoint,
+) -> Option<Name> {
+    let is_doubted = gateway.balancer().doubted_ms(&endpoint.id).is_some();
+    let is_asked = is_list_old(gateway) && process_report::can_ask(gateway, endpoint, service);
+    if is_doubted || is_asked {
+        begin_search(gateway, &endpoint.id);
+        return None;
     }
+    gateway.balancer().proven_version(endpoint).cloned()
 }
 
 /// Whether the list of endpoints is so old that the store counts as away.
@@ -172,66 +182,76 @@
     if gateway.proof_searches.lock().insert(endpoint.clone()) {
         let (gateway, endpoint) = (Arc::clone(gateway), endpoint.clone());
         tokio::spawn(async move {
-            if !search(&gateway, &endpoint).await {
-                sleep(RETRY_INTERVAL).await;
+            match search(&gateway, &endpoint).await {
+                Proof::Found => {}
+                Proof::Missing => sleep(RETRY_INTERVAL).await,
+                Proof::OfAnother => sleep(REPLACED_RETRY_INTERVAL).await,
             }
             gateway.proof_searches.lock().remove(&endpoint);
         });
     }
 }
 
-/// Returns whether the endpoint's process is proven to be that of its entry.
-async fn search(gateway: &Gateway, endpoint: &Name) -> bool {
-    let Some(info) = gateway.balancer().info(endpoint).cloned() else { return false };
+/// What a search brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Proof {
+    /// The endpoint's process is that of its entry.
+    Found,
+    /// Nothing.
+    Missing,
+    /// The endpoint's process is another one.
+    OfAnother,
+}
+
+/// Looks for proof that an endpoint's process is that of its entry.
+async fn search(gateway: &Gateway, endpoint: &Name) -> Proof {
+    let Some(info) = gateway.balancer().info(endpoint).cloned() else { return Proof::Missing };
     let is_doubted = gateway.balancer().doubted_ms(endpoint).is_some();
     // Without a doubt, a current list shows the process at no cost.
     if !is_doubted && !is_list_old(gateway) {
-        return false;
+        return Proof::Missing;
     }
     if process_report::can_ask(gateway, &info, &info.service)
-        && let Some(is_shown) = ask(gateway, endpoint, &info).await
+        && let Some(proof) = ask(gateway, endpoint, &info).await
     {
-        return is_shown;
+        return proof;
     }
     if !is_doubted {
-        return false;
+        return Proof::Missing;
     }
     let accepted_ms = clock::now_ms();
     let Ok(connection) = gateway.pool.connect(info.address).await else {
         gateway.balancer().record_disconnect(endpoint, clock::now_ms());
-        return false;
+        return Proof::Missing;
     };
-    let is_proven = hold(gateway, endpoint, &connection, accepted_ms).await;
-    if is_proven {
-        let held_ms = clock::now_ms().saturating_sub(accepted_ms);
-        tracing::info!(%endpoint, evidence = "entry", held_ms, "the endpoint's process is that of its entry");
-        gateway.pool.put(endpoint, connection, None);
+    if !hold(gateway, endpoint, &connection, accepted_ms).await {
+        return Proof::Missing;
     }
-    is_proven
+    let held_ms = clock::now_ms().saturating_sub(accepted_ms);
+    tracing::info!(%endpoint, evidence = "entry", held_ms, "the endpoint's process is that of its entry");
+    gateway.pool.put(endpoint, connection, None);
+    Proof::Found
 }
 
 /// Asks an endpoint's process whether it is that of its entry; `None` if it does not tell.
-async fn ask(gateway: &Gateway, endpoint: &Name, info: &EndpointInfo) -> Option<bool> {
+async fn ask(gateway: &Gateway, endpoint: &Name, info: &EndpointInfo) -> Option<Proof> {
     let Ok(connection) = gateway.pool.connect(info.address).await else {
         gateway.balancer().record_disconnect(endpoint, clock::now_ms());
-        return Some(false);
+        return Some(Proof::Missing);
     };
-    let asked_ms = clock::now_ms();
     match process_report::ask(gateway, info, connection).await {
         ProcessReport::Same(connection) => {
-            gateway.balancer().record_process_shown(endpoint, info.incarnation, asked_ms);
             tracing::info!(%endpoint, evidence = "report", "the endpoint's process is that of its entry");
             if let Some(connection) = connection {
                 gateway.pool.put(endpoint, *connection, None);
             }
-            Some(true)
+            Some(Proof::Found)
         }
-        ProcessReport::Replaced(started_unix_ms) => {
-            tracing::info!(%endpoint, started_unix_ms, "another process has taken the place of an endpoint");
+        ProcessReport::Replaced(_) => {
             gateway.balancer().record_disconnect(endpoint, clock::now_ms());
-            Some(false)
+            Some(Proof::OfAnother)
         }
-        ProcessReport::Misdirected | ProcessReport::Failed => Some(false),
+        ProcessReport::Misdirected | ProcessReport::Failed => Some(Proof::Missing),
         ProcessReport::Untold => None,
     }
 }
--- a/crates/gateway/src/process_report.rs
+++ b/crates/gateway/src/process_report.rs
@@ -13,7 +13,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    attempt::collect_body, connection::Connection, gateway::Gateway, meters, upstream_response,
+    attempt::collect_body, clock, connection::Connection, gateway::Gateway, meters,
+    upstream_response,
 };
 
 /// Time-out for a report.
@@ -96,19 +97,27 @@
     is_engine && process.incarnation > 0 && !gateway.silent_processes.contains(process)
 }
 
-/// Asks the process that accepted a connection when it started.
+/// Asks the process that accepted a connection when it started, and records what that shows.
 pub(crate) async fn ask<'a>(
     gateway: &Gateway,
     process: impl Into<ListedProcess<'a>>,
     connection: Connection,
 ) -> ProcessReport {
     let process = process.into();
+    let (endpoint, asked_ms) = (process.id, clock::now_ms());
     let report = exchange(gateway, process, connection).await;
-    if matches!(report, ProcessReport::Untold) {
-        gateway.silent_processes.insert(process);
-    }
     meters::process_report(report.label());
-    tracing::debug!(endpoint = %process.id, report = report.label(), "process reported");
+    match &report {
+        ProcessReport::Same(_) => {
+            gateway.balancer().record_process_shown(endpoint, process.incarnation, asked_ms);
+            tracing::debug!(%endpoint, "an endpoint's process reports that it is that of its entry");
+        }
+        ProcessReport::Replaced(started_unix_ms) => {
+            tracing::info!(%endpoint, started_unix_ms, "another process has taken the place of an endpoint");
+        }
+        ProcessReport::Untold => gateway.silent_processes.insert(process),
+        ProcessReport::Misdirected | ProcessReport::Failed => {}
+    }
     report
 }
 
--- a/crates/gateway/src/relay/begun.rs
+++ b/crates/gateway/src/relay/begun.rs
@@ -71,8 +71,7 @@
             self.progress.required_version = Some(version);
             return;
         }
-        process_proof::search_for_begun(&self.gateway, &chosen.id);
-        let assumed = self.gateway.balancer().proven_version(chosen).cloned();
+        let assumed = process_proof::assume_begun(&self.gateway, service, chosen);
         let is_replaced = !self.gateway.balancer().is_entry_unchanged(chosen);
         match assumed {
             Some(version) => self.record_version(&version),
