Move a stream of a server that is taken away although its connection is new

Change: the entry has changed since the server was selected, so that its process is there; its version is taken.

--- a/crates/gateway/src/relay/stalled.rs
+++ b/crates/gateway/src/relay/stalled.rs
@@ -27,14 +27,21 @@
     }
 
     /// Whether the stream is moved now because its endpoint is about to be taken away. It is tried once.
+    ///
+    /// The entry has changed since the endpoint was selected, which leaving ones are not: its process is there.
     pub(super) fn begins_to_move(&mut self) -> bool {
         let State::Streaming(upstream) = &self.state else { return false };
         let is_due = !self.was_moved
             && self.events.can_resume()
             && self.events.event_count() > 0
             && self.gateway.departures.is_due(&self.request, &upstream.attempt.chosen);
-        self.was_moved |= is_due;
-        is_due && self.try_replace(Failure::Leaving)
+        if !is_due {
+            return false;
+        }
+        self.was_moved = true;
+        let assumed = self.gateway.balancer().proven_version(&upstream.attempt.chosen).cloned();
+        self.progress.required_version = self.progress.required_version.take().or(assumed);
+        self.try_replace(Failure::Leaving)
     }
 
     /// Secures another endpoint for a stream that has stalled or whose endpoint leaves. Returns false if it
