Tell where a configuration was read, and what exchanges between instances carry

The logs could not tell whether a change waited behind other data, at the store, or for the processor: a failed exchange said neither its phase nor its size, and 'configuration read' not from whom. Metrics tanagergauge_peer_bytes_total, _peer_exchange_failures_total and _configurations_total, and the peer in the log line. No change of behaviour.

--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -200,6 +200,21 @@
     counter!("tanagergauge_control_calls_total", "result" => result).increment(1);
 }
 
+/// Counts the bytes of a message between instances, without its head.
+pub(crate) fn peer_bytes(direction: &'static str, bytes: usize) {
+    counter!("tanagergauge_peer_bytes_total", "direction" => direction).increment(bytes as u64);
+}
+
+/// Counts an exchange with a peer that failed, by the phase in which it did.
+pub(crate) fn peer_exchange_failed(phase: &'static str) {
+    counter!("tanagergauge_peer_exchange_failures_total", "phase" => phase).increment(1);
+}
+
+/// Counts a configuration that came into force, by where it was read.
+pub(crate) fn configuration_read(source: &'static str) {
+    counter!("tanagergauge_configurations_total", "source" => source).increment(1);
+}
+
 /// Counts a call to the store.
 pub(crate) fn store_call(topic: Topic, result: &'static str) {
     let topic: &'static str = topic.into();
--- a/crates/gateway/src/peers/announce.rs
+++ b/crates/gateway/src/peers/announce.rs
@@ -68,6 +68,6 @@
         exchange::send(gateway, &member.name, member.control, &report, ZONE_TIMEOUT).await;
     if let Some(mut exchange) = exchanged {
         apply_findings(gateway, &member.name, &report, &mut exchange);
-        news::apply(&follower, exchange.response.store);
+        news::apply(&follower, &member.name, exchange.response.store);
     }
 }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -14,7 +14,7 @@
     supplement::{self, Supplement},
     sync::Report,
 };
-use crate::{attempt::collect_body, clock, gateway::Gateway};
+use crate::{attempt::collect_body, clock, gateway::Gateway, meters};
 
 /// Log target that deployed log filters select; it is independent of the module path.
 const LOG_TARGET: &str = "tanagergauge_gateway::peers::sync";
@@ -37,6 +37,22 @@
     bytes.saturating_sub(suspects * SUSPECT_BYTES)
 }
 
+/// In which phase an exchange failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum Phase {
+    /// The report could not be encoded.
+    Encode,
+    /// No connection was opened.
+    Connect,
+    /// No response began.
+    Send,
+    /// The response did not end.
+    Receive,
+    /// The response could not be decoded.
+    Decode,
+}
+
 /// Sends a report; `None` if no valid response arrives in time.
 pub(super) async fn send(
     gateway: &Gateway,
@@ -45,7 +61,25 @@
     report: &Report,
     timeout: Duration,
 ) -> Option<Exchange> {
-    let deadline = Instant::now() + timeout;
+    let begin = Instant::now();
+    match exchange(gateway, name, control, report, begin + timeout).await {
+        Ok(exchange) => Some(exchange),
+        Err(phase) => {
+            meters::peer_exchange_failed(phase.into());
+            let took_ms = clock::elapsed_ms(begin);
+            tracing::debug!(target: LOG_TARGET, peer = %name, %phase, took_ms, "exchange with a peer failed");
+            None
+        }
+    }
+}
+
+async fn exchange(
+    gateway: &Gateway,
+    name: &Name,
+    control: SocketAddr,
+    report: &Report,
+    deadline: Instant,
+) -> Result<Exchange, Phase> {
     let doubts = gateway.balancer().process_doubts(clock::now_ms());
     let supplements = supplement::outgoing(gateway, name, report.request.sender);
     let versions = &report.versions.report;
@@ -53,32 +87,38 @@
         Ok(body) => body,
         Err(error) => {
             tracing::error!(target: LOG_TARGET, %error, "cannot encode a report");
-            return None;
+            return Err(Phase::Encode);
         }
     };
     let mut connection = match gateway.pool.take(name, control, true, None).connection {
         Some(connection) => connection,
-        None => timeout_at(deadline, gateway.pool.connect(control)).await.ok()?.ok()?,
+        None => {
+            let connecting = timeout_at(deadline, gateway.pool.connect(control)).await;
+            connecting.map_err(|_| Phase::Connect)?.map_err(|_| Phase::Connect)?
+        }
     };
     let sent_bytes = body.base_bytes;
+    meters::peer_bytes("sent", body.bytes.len());
     let request = hyper::Request::builder()
         .method(Method::POST)
         .uri(PATH)
         .header(HOST, control.to_string())
         .body(Full::new(Bytes::from(body.bytes)))
-        .ok()?;
-    let response =
-        timeout_at(deadline, connection.sender.send_request(request)).await.ok()?.ok()?;
-    let bytes = collect_body(gateway, response.into_body(), deadline).await.ok()?;
+        .map_err(|_| Phase::Encode)?;
+    let sending = timeout_at(deadline, connection.sender.send_request(request)).await;
+    let response = sending.map_err(|_| Phase::Send)?.map_err(|_| Phase::Send)?;
+    let received = collect_body(gateway, response.into_body(), deadline).await;
+    let bytes = received.map_err(|_| Phase::Receive)?;
+    meters::peer_bytes("received", bytes.len());
     gateway.pool.put(name, connection, None);
     match message::decode(&bytes) {
         Ok(Decoded { message: response, versions, doubts, supplements, base_bytes }) => {
             let load_bytes = load_bytes(&report.request, &response, sent_bytes + base_bytes);
-            Some(Exchange { response, versions, doubts, supplements, load_bytes })
+            Ok(Exchange { response, versions, doubts, supplements, load_bytes })
         }
         Err(error) => {
             tracing::warn!(target: LOG_TARGET, %error, peer = %name, "cannot decode a peer's response");
-            None
+            Err(Phase::Decode)
         }
     }
 }
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -1,6 +1,9 @@
 //! What instances tell each other of the store's topics.
 
-use tanagergauge_core::compacted_log::{CatchUp, CatchUpPlan};
+use tanagergauge_core::{
+    Name,
+    compacted_log::{CatchUp, CatchUpPlan},
+};
 
 use super::message::{Position, StoreNews};
 use crate::{
@@ -33,11 +36,11 @@
 }
 
 /// Applies what a peer told.
-pub(super) fn apply(follower: &StoreFollower, news: StoreNews) {
+pub(super) fn apply(follower: &StoreFollower, peer: &Name, news: StoreNews) {
     let (gateway, decoders) = (follower.gateway(), follower.decoders());
     let mut view = follower.view();
     let known = news.known;
-    view.apply_peer_configuration(gateway, decoders, news.configuration, known);
+    view.apply_peer_configuration(gateway, decoders, peer, news.configuration, known);
     if known.endpoints_end == 0 {
         return;
     }
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -7,7 +7,7 @@
     message::{self, Decoded, SenderRole, SyncRequest, SyncResponse, VersionReport},
     news, supplement, versions,
 };
-use crate::{clock, follow::StoreFollower, process_proof};
+use crate::{clock, follow::StoreFollower, meters, process_proof};
 
 /// Applies a report and returns the encoded response; `None` if the report cannot be decoded.
 pub(crate) fn handle(follower: &StoreFollower, body: &[u8]) -> Option<Bytes> {
@@ -28,7 +28,11 @@
     let doubts = gateway.balancer().process_doubts(clock::now_ms());
     let supplements = supplement::response(gateway, &peer, sender);
     match message::encode(&response, &versions, &doubts, &supplements) {
-        Ok(encoded) => Some(Bytes::from(encoded.bytes)),
+        Ok(encoded) => {
+            meters::peer_bytes("received", body.len());
+            meters::peer_bytes("sent", encoded.bytes.len());
+            Some(Bytes::from(encoded.bytes))
+        }
         Err(error) => {
             tracing::error!(%error, "cannot encode the response to a peer");
             None
@@ -71,7 +75,7 @@
         known_suspects.updates_since(report.suspects_received)
     };
     if let Some(store) = report.store {
-        news::apply(follower, store);
+        news::apply(follower, &instance, store);
     }
     SyncResponse {
         loads,
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -126,7 +126,7 @@
             gateway.peers.record_hub_response(&response.store, members);
             gateway.peers.set_other_instances(response.instances);
             gateway.balancer().set_peer_loads(&response.loads, clock::now_ms());
-            news::apply(follower, response.store);
+            news::apply(follower, &hub.name, response.store);
             load_bytes
         }
         None => {
@@ -184,7 +184,7 @@
             let mut reports = gateway.peers.reports();
             reports.zones.put(&hub.zone, response.loads, response.instances, clock::now_ms());
             drop(reports);
-            news::apply(&follower, response.store);
+            news::apply(&follower, &hub.name, response.store);
             load_bytes
         }
         None => {
@@ -207,7 +207,7 @@
         let exchanged = exchange::send(gateway, &name, seed, &report, ZONE_TIMEOUT).await;
         if let Some(mut exchange) = exchanged {
             apply_findings(gateway, &name, &report, &mut exchange);
-            news::apply(follower, exchange.response.store);
+            news::apply(follower, &name, exchange.response.store);
         }
         if gateway.is_initialized() {
             return;
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -48,6 +48,30 @@
     Undecodable,
 }
 
+/// From where a configuration was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConfigurationSource<'a> {
+    Store,
+    /// An instance that had it in force.
+    Peer(&'a Name),
+}
+
+impl<'a> ConfigurationSource<'a> {
+    fn kind(self) -> &'static str {
+        match self {
+            ConfigurationSource::Store => "store",
+            ConfigurationSource::Peer(_) => "peer",
+        }
+    }
+
+    fn peer(self) -> Option<&'a str> {
+        match self {
+            ConfigurationSource::Store => None,
+            ConfigurationSource::Peer(name) => Some(name),
+        }
+    }
+}
+
 /// The newest records of the configuration and endpoints topics.
 #[derive(Debug, Default)]
 pub(crate) struct StoreView {
@@ -223,11 +247,12 @@
         &mut self,
         gateway: &Arc<Gateway>,
         decoders: &Decoders,
+        peer: &Name,
         records: Vec<Record>,
         known: Position,
     ) {
         for record in &records {
-            self.apply_configuration(gateway, decoders, record);
+            self.apply_configuration(gateway, decoders, record, ConfigurationSource::Peer(peer));
         }
         if known.configuration_end == 0 {
             return;
@@ -256,7 +281,8 @@
         }
         let effect = match topic {
             Topic::Configuration => {
-                self.apply_configuration(gateway, decoders, &record);
+                let source = ConfigurationSource::Store;
+                self.apply_configuration(gateway, decoders, &record, source);
                 RecordEffect::Change
             }
             Topic::Endpoints => self.apply_endpoint(gateway, decoders, key, value.as_ref(), report),
@@ -279,6 +305,7 @@
         gateway: &Arc<Gateway>,
         decoders: &Decoders,
         record: &Record,
+        source: ConfigurationSource<'_>,
     ) {
         let Some(value) = &record.value else { return };
         match (decoders.configuration)(&record.key, value) {
@@ -289,8 +316,10 @@
                 let newer = gateway.put_configuration(configuration);
                 if newer {
                     self.in_force = Some(InForce { version, record: record.clone() });
+                    meters::configuration_read(source.kind());
                 }
-                tracing::info!(version, newer, keys, "configuration read");
+                let (source, peer) = (source.kind(), source.peer());
+                tracing::info!(version, newer, keys, source, peer, "configuration read");
                 if newer && keys == Some(0) {
                     tracing::warn!(
                         version,
